--- a/packages/rosemaryward-bench/src/rosemaryward/bench/launch/launch.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/launch/launch.py
@@ -36,7 +36,7 @@
     encode_stored,
 )
 from rosemaryward.decisions.interfaces import ListedHost
-from rosemaryward.platform.etcd import EtcdStore
+from rosemaryward.etcd.store import EtcdStore
 
 __all__ = ["Launch", "LaunchSettings"]
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/launch/tests/test_launch.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/launch/tests/test_launch.py
@@ -7,7 +7,7 @@
 from rosemaryward.bench.deployments import get_deployment
 from rosemaryward.bench.launch.launch import Launch, LaunchSettings
 from rosemaryward.decisions.document.stored import decode_stored, document_key
-from rosemaryward.platform.etcd import EtcdStore
+from rosemaryward.etcd.store import EtcdStore
 
 EXAMPLES = Path(__file__).parents[7] / "examples"
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tenants.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tenants.py
@@ -4,7 +4,7 @@
 
 from anyio import current_time
 
-from rosemaryward.decisions.document.schema import TenantLimits
+from rosemaryward.decisions.admission.sections import TenantLimits
 from rosemaryward.decisions.errors import OverloadError
 
 __all__ = ["TenantLimiter"]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_machine.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_machine.py
@@ -8,7 +8,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from rosemaryward.decisions.admission import AdmissionQueue
-from rosemaryward.decisions.document.schema import RankSection
+from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.types import Rank
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_queue.py
@@ -5,7 +5,7 @@
 from anyio import current_time
 
 from rosemaryward.decisions.admission import AdmissionQueue, AdmissionSettings
-from rosemaryward.decisions.document.schema import RankSection
+from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.errors import NotRunError, OverloadError
 from rosemaryward.decisions.types import Rank
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/schema.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/schema.py
@@ -10,6 +10,8 @@
 import msgspec
 from msgspec import Meta
 
+from rosemaryward.decisions.admission.sections import RankSection, TenantLimits
+
 __all__ = [
     "Document",
     "DatabaseSection",
@@ -26,16 +28,11 @@
 
 Port = Annotated[int, Meta(ge=1, le=65535)]
 Limit = Annotated[int, Meta(ge=1, le=1_000_000)]
-Share = Annotated[float, Meta(ge=0.0, le=1.0)]
-Deadline = Annotated[float, Meta(gt=0.0, le=3600.0)]
 OptionalDeadline = Annotated[float, Meta(ge=0.0, le=3600.0)]
 Staleness = Annotated[float, Meta(ge=0.0, le=86400.0)]
-StatementRate = Annotated[float, Meta(ge=0.0, le=10_000_000.0)]
 LinkRate = Annotated[float, Meta(gt=0.0, le=1e12)]
 PasswordHash = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f]{40}$(?!\n)")]
 
-DEFAULT_FLOOR = 0.10  # share of slot time
-DEFAULT_DEADLINE_S = 2.0
 
 
 class InstanceSection(
@@ -83,26 +80,6 @@
     connections: Limit
 
 
-class RankSection(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """Targets of a rank.
-
-    Parameters
-    ----------
-    deadline_s : float
-        Default deadline of a statement in seconds.
-    floor : float
-        Share of slot time that the rank keeps while others flood, 0 to 1.
-    queue_limit : int
-        Longest queue of the rank in front of one instance.
-    """
-
-    deadline_s: Deadline = DEFAULT_DEADLINE_S
-    floor: Share = DEFAULT_FLOOR
-    queue_limit: Limit = 1000
-
-
 class RuleSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
@@ -151,23 +128,6 @@
     ranks: tuple[str, ...] = ("urgent", "normal", "bulk")
 
 
-class TenantLimits(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """Limits of one tenant per proxy.
-
-    Parameters
-    ----------
-    connections : int
-        Caller connections per proxy.
-    statements_per_s : float
-        0 means no limit.
-    """
-
-    connections: Limit = 10_000
-    statements_per_s: StatementRate = 0.0
-
-
 class TenantSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Path of a statement from a caller's session to an endpoint and back."""
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -0,0 +1,274 @@
+"""Connections to one endpoint, shared by the sessions of a proxy."""
+
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from typing import Protocol
+
+import anyio
+import structlog
+
+from rosemaryward.decisions.admission import AdmissionQueue
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.gateway.environment import Endpoint
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectError,
+    Failure,
+    UnansweredError,
+)
+from rosemaryward.decisions.gateway.statements import PreparedStatement
+from rosemaryward.decisions.types import LogPosition
+
+__all__ = ["Connection", "Connector", "EndpointPool", "PooledConnection"]
+
+CONNECT_TIMEOUT_S = 0.6  # covers one lost opening packet between regions
+AVOID_FIRST_S = 0.5
+AVOID_LIMIT_S = 4.0
+OWN_REQUEST_ID = "-"  # marks statements of the proxy itself
+
+log = structlog.get_logger(__name__)
+
+
+class Connection(Protocol):
+    """Open connection to an endpoint; one statement at a time."""
+
+    async def execute(
+        self, request_id: str, text: str, since: LogPosition | None = None
+    ) -> Answer:
+        """Run a statement; raises `UnansweredError` if no whole answer comes."""
+
+
+class Connector(Protocol):
+    """Opens connections."""
+
+    async def connect(self, endpoint: Endpoint) -> Connection:
+        """Connect; raises `ConnectError` if the endpoint cannot be used."""
+
+    def discard(self, connection: Connection) -> None:
+        """Close a connection soon; the endpoint rolls back an open transaction."""
+
+
+class PooledConnection:
+    """Connection with the session context that it carries.
+
+    Parameters
+    ----------
+    connection : Connection
+    """
+
+    __slots__ = (
+        "broken",
+        "connection",
+        "idle_since",
+        "prepared",
+        "values",
+    )
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.broken = False
+        self.idle_since = 0.0
+
+    async def execute(
+        self, request_id: str, text: str, since: LogPosition | None = None
+    ) -> Answer:
+        """Run a statement; raises `UnansweredError` if no whole answer comes."""
+        self.broken = True
+        answer = await self.connection.execute(request_id, text, since)
+        self.broken = False
+        return answer
+
+    async def adopt(self, values: dict[str, str]) -> None:
+        """Make the connection's values those of a session.
+
+        Raises
+        ------
+        UnansweredError
+            If the endpoint does not confirm them; the connection is unusable.
+        """
+        if any(name not in values for name in self.values):
+            await self._own("RESET")
+            self.values = {}
+            self.prepared = set()
+        for name, value in values.items():
+            if self.values.get(name) != value:
+                await self._own(f"SET {name} {value}")
+                self.values[name] = value
+
+    async def prepare(self, prepared: PreparedStatement) -> str:
+        """Prepare a statement unless it is; return its name at the endpoint.
+
+        Raises
+        ------
+        UnansweredError
+            If the endpoint does not confirm it; the connection is unusable.
+        """
+        word = "WRITE" if prepared.writes else "READ"
+        name = f"{word[0].lower()}-{prepared.shape}"
+        if name not in self.prepared:
+            await self._own(f"PREPARE {name} {word} {prepared.shape}")
+            self.prepared.add(name)
+        return name
+
+    async def _own(self, text: str) -> None:
+        answer = await self.execute(OWN_REQUEST_ID, text)
+        if answer.failure is not None:
+            self.broken = True
+            raise UnansweredError(f"{text.split()[0]} failed: {answer.reason}")
+
+
+class EndpointPool:
+    """Connections and admission queue of one endpoint.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    connector : Connector
+    clock : callable, optional
+
+    Attributes
+    ----------
+    answered_at : float
+        Boot time of the endpoint's last answer.
+    avoid_until : float
+        Boot time until which reads should go elsewhere.
+    position : LogPosition
+        Newest position seen in an answer.
+    """
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        connector: Connector,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.endpoint = endpoint
+        self.connector = connector
+        self.clock = clock
+        self.queue = AdmissionQueue(endpoint.slots, {})
+        self.idle: list[PooledConnection] = []
+        self.opened = 0
+        self.answered_at = float("-inf")
+        self.failed_at = float("-inf")
+        self.avoid_until = float("-inf")
+        self.failures = 0
+        self.position = LogPosition()
+        self.closed = False
+
+    @property
+    def suspect(self) -> bool:
+        """Whether the endpoint failed to answer lately."""
+        return self.clock() < self.avoid_until
+
+    def note_answer(self, answer: Answer) -> None:
+        """Record that the endpoint answered."""
+        self.answered_at = self.clock()
+        if self.failures:
+            log.info("endpoint regained", endpoint=self.endpoint.id)
+        self.failures = 0
+        self.avoid_until = float("-inf")
+        if answer.position is not None and answer.position > self.position:
+            self.position = answer.position
+
+    def note_failure(self, reason: str) -> None:
+        """Record that the endpoint did not answer, and avoid it for a while."""
+        now = self.clock()
+        self.failed_at = now
+        if not self.failures:
+            log.warning("endpoint lost", endpoint=self.endpoint.id, reason=reason)
+        self.failures += 1
+        pause_s = min(AVOID_FIRST_S * 2 ** (self.failures - 1), AVOID_LIMIT_S)
+        self.avoid_until = now + pause_s
+        # Other connections may be silent as well; a new one shows it sooner.
+        self.discard_idle()
+
+    async def take(self, wait_s: float) -> PooledConnection:
+        """Return an idle connection or open one.
+
+        Parameters
+        ----------
+        wait_s : float
+            Time to wait for a connection when the endpoint accepts no more.
+
+        Raises
+        ------
+        ConnectError
+        """
+        while self.idle:
+            pooled = self.idle.pop()
+            if not pooled.broken:
+                return pooled
+        try:
+            with anyio.fail_after(min(CONNECT_TIMEOUT_S, max(wait_s, 0.001))):
+                connection = await self.connector.connect(self.endpoint)
+        except TimeoutError:
+            self.note_failure("no answer to a new connection")
+            raise ConnectError(Failure.BUSY, "no answer to a new connection") from None
+        except ConnectError as error:
+            if error.failure is not Failure.CONNECTION_LIMIT:
+                self.note_failure(error.reason)
+            raise
+        self.opened += 1
+        return PooledConnection(connection)
+
+    def give_back(self, pooled: PooledConnection) -> None:
+        """Keep a connection for later use, or close it if it is unusable."""
+        if pooled.broken or self.closed:
+            self.opened -= 1
+            self.connector.discard(pooled.connection)
+            return
+        pooled.idle_since = self.clock()
+        self.idle.append(pooled)
+
+    @contextlib.asynccontextmanager
+    async def connection(self, wait_s: float) -> AsyncIterator[PooledConnection]:
+        """Hold a connection; raises `ConnectError`."""
+        pooled = await self.take(wait_s)
+        try:
+            yield pooled
+        except BaseException:
+            pooled.broken = True
+            raise
+        finally:
+            self.give_back(pooled)
+
+    async def probe(self, text: str, timeout_s: float) -> Answer:
+        """Run a control statement of the proxy.
+
+        Raises
+        ------
+        ConnectError, UnansweredError
+        """
+        async with self.connection(timeout_s) as pooled:
+            try:
+                with anyio.fail_after(timeout_s):
+                    answer = await pooled.execute(OWN_REQUEST_ID, text)
+            except TimeoutError:
+                raise UnansweredError(f"{text}: no answer in {timeout_s} s") from None
+        self.note_answer(answer)
+        return answer
+
+    def update(self, endpoint: Endpoint) -> None:
+        """Take over a changed registration at the same address."""
+        self.endpoint = endpoint
+        if endpoint.slots != self.queue.slots:
+            self.queue.set_slots(endpoint.slots)
+
+    def discard_idle(self, idle_s: float = 0.0) -> None:
+        """Close connections that were idle for a time or longer."""
+        limit = self.clock() - idle_s
+        keep = [pooled for pooled in self.idle if pooled.idle_since > limit]
+        drop = [pooled for pooled in self.idle if pooled.idle_since <= limit]
+        self.idle = keep
+        for pooled in drop:
+            self.opened -= 1
+            self.connector.discard(pooled.connection)
+
+    def close(self) -> None:
+        """Close idle connections now and the others when they come back."""
+        self.closed = True
+        self.queue.close()
+        self.discard_idle()
+
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -0,0 +1,315 @@
+"""One statement outside of a transaction, from its target to its reply."""
+
+import contextlib
+from collections.abc import Callable
+
+import anyio
+import msgspec
+
+from rosemaryward.decisions.admission import SlotGrant
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.errors import OverloadError
+from rosemaryward.decisions.gateway.connections import EndpointPool, PooledConnection
+from rosemaryward.decisions.gateway.environment import Route
+from rosemaryward.decisions.gateway.outcomes import (
+    NOT_RUN,
+    Answer,
+    ConnectError,
+    Failure,
+    UnansweredError,
+)
+from rosemaryward.decisions.gateway.statements import (
+    PreparedStatement,
+    Statement,
+    StatementKind,
+)
+from rosemaryward.decisions.gateway.targets import Target, TargetSelector
+from rosemaryward.decisions.types import LogPosition, Rank
+
+__all__ = ["Executor", "SessionContext", "StatementFailedError", "StatementRequest"]
+
+HOLD_SHARE = 0.25  # of the target latency, for a statement without a usable endpoint
+RETRY_PAUSE_S = 0.02
+READ_ATTEMPT_SHARE = 0.5  # of the time left, so that a second endpoint can answer
+
+
+class SessionContext:
+    """Values, prepared statements and newest commit of one session."""
+
+    __slots__ = ("caller", "position", "prepared", "values")
+
+    def __init__(self, caller: str) -> None:
+        self.caller = caller
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, PreparedStatement] = {}
+        self.position = LogPosition()
+
+
+class StatementRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A statement with what decides where and until when it may run.
+
+    Parameters
+    ----------
+    statement : Statement
+    route : Route
+    writes : bool
+    received_at : float
+        Boot time of the statement or of its transaction's start, in seconds.
+    expires_at : float
+        Boot time at which the route's timeout ends it.
+    """
+
+    statement: Statement
+    route: Route
+    writes: bool
+    received_at: float
+    expires_at: float
+
+
+class StatementFailedError(Exception):
+    """A statement ended without a result.
+
+    Parameters
+    ----------
+    failure : Failure
+    reason : str
+    endpoint : str
+        Endpoint that was asked last.
+    """
+
+    def __init__(self, failure: Failure, reason: str, endpoint: str = "") -> None:
+        super().__init__(reason)
+        self.failure = failure
+        self.reason = reason
+        self.endpoint = endpoint
+
+
+class _RetryError(Exception):
+    """The statement did not run at an endpoint and may run elsewhere."""
+
+    def __init__(self, failure: Failure, reason: str) -> None:
+        super().__init__(reason)
+        self.failure = failure
+        self.reason = reason
+
+
+class Executor:
+    """Runs statements at the endpoints that the selector chooses.
+
+    Parameters
+    ----------
+    selector : TargetSelector
+    clock : callable, optional
+    attempt_failed : callable
+        Called with statement, route, endpoint and reason of each failed attempt.
+    """
+
+    def __init__(
+        self,
+        selector: TargetSelector,
+        attempt_failed: Callable[[Statement, Route, str, str], None],
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.selector = selector
+        self.attempt_failed = attempt_failed
+        self.clock = clock
+        self.changed = anyio.Event()
+        selector.leadership.on_change.append(self.wake)
+
+    def wake(self, group: str) -> None:
+        """Let statements that wait for an endpoint look again."""
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def select(
+        self, request: StatementRequest, session: SessionContext, tried: set[str]
+    ) -> Target | None:
+        """Return where the statement may run now."""
+        route = request.route
+        if request.writes:
+            target = self.selector.primary(route.group)
+            if target is not None and target.pool.endpoint.id in tried:
+                return None
+            return target
+        return self.selector.read(route, request.received_at, session.position, tried)
+
+    async def run(
+        self, request: StatementRequest, session: SessionContext
+    ) -> tuple[Answer, Target]:
+        """Run a single statement; raises `StatementFailedError`."""
+        tried: set[str] = set()
+        while True:
+            target = await self.wait_for_target(request, session, tried)
+            endpoint = target.pool.endpoint.id
+            try:
+                return await self._attempt(request, session, target), target
+            except _RetryError as error:
+                self.attempt_failed(
+                    request.statement, request.route, endpoint, error.reason
+                )
+                tried.add(endpoint)
+                if self.clock() >= request.expires_at:
+                    failure = Failure.BUSY if request.writes else Failure.TIMED_OUT
+                    raise StatementFailedError(
+                        failure, error.reason, endpoint
+                    ) from error
+
+    async def wait_for_target(
+        self, request: StatementRequest, session: SessionContext, tried: set[str]
+    ) -> Target:
+        """Return a target, waiting for a bounded time until there is one.
+
+        Raises
+        ------
+        StatementFailedError
+            If no endpoint may run the statement.
+        """
+        started_at = self.clock()
+        hold_s = request.route.target_latency_s * HOLD_SHARE
+        give_up_at = min(started_at + hold_s, request.expires_at)
+        while True:
+            target = self.select(request, session, tried)
+            if target is not None:
+                return target
+            now = self.clock()
+            if now >= give_up_at:
+                group = request.route.group
+                raise StatementFailedError(
+                    Failure.BUSY, f"not run: no usable endpoint of {group}"
+                )
+            # An endpoint that was busy a moment ago may be asked again.
+            pause_s = min(RETRY_PAUSE_S if tried else hold_s, give_up_at - now)
+            with anyio.move_on_after(pause_s):
+                await self.changed.wait()
+            tried.clear()
+
+    def slot(
+        self, pool: EndpointPool, request: StatementRequest, session: SessionContext
+    ) -> SlotGrant:
+        """Return a grant of one of the endpoint's slots."""
+        rank = Rank(min(request.route.rank, max(Rank)))
+        left_s = max(request.expires_at - self.clock(), 0.0)
+        return pool.queue.slot(rank, session.caller, request.route.database, left_s)
+
+    async def _attempt(
+        self, request: StatementRequest, session: SessionContext, target: Target
+    ) -> Answer:
+        pool = target.pool
+        try:
+            async with self.slot(pool, request, session):
+                left_s = max(request.expires_at - self.clock(), 0.0)
+                async with pool.connection(left_s) as pooled:
+                    return await self.execute(request, session, target, pooled)
+        except OverloadError as error:
+            raise StatementFailedError(
+                Failure.BUSY, f"not run: {error}", pool.endpoint.id
+            ) from error
+        except ConnectError as error:
+            raise _RetryError(error.failure, error.reason) from error
+
+    async def execute(
+        self,
+        request: StatementRequest,
+        session: SessionContext,
+        target: Target,
+        pooled: PooledConnection,
+    ) -> Answer:
+        """Run a statement on a connection.
+
+        Raises
+        ------
+        _RetryError
+            If it certainly did not run, or if it only reads.
+        StatementFailedError
+        """
+        pool = target.pool
+        writes = request.writes
+        now = self.clock()
+        left_s = request.expires_at - now
+        attempt_s = left_s if writes else left_s * READ_ATTEMPT_SHARE
+        sent = False
+        try:
+            with anyio.fail_after(max(attempt_s, 0.0)):
+                text = await self.prepare(request.statement, session, pooled)
+                self._check_still_primary(request, target)
+                sent = True
+                sent_at = self.clock()
+                with self.writing(request.route.group, writes):
+                    answer = await pooled.execute(
+                        request.statement.request_id, text, target.since
+                    )
+        except (UnansweredError, TimeoutError) as error:
+            reason = str(error) or f"no answer in {attempt_s:.3f} s"
+            pool.note_failure(reason)
+            if sent and writes:
+                raise StatementFailedError(
+                    Failure.IN_DOUBT, reason, pool.endpoint.id
+                ) from error
+            raise _RetryError(Failure.TIMED_OUT, reason) from error
+        self.selector.record_answer(target, sent_at, answer)
+        return self._check(request, target, answer)
+
+    async def prepare(
+        self, statement: Statement, session: SessionContext, pooled: PooledConnection
+    ) -> str:
+        """Give the connection the session's context; return the text to send.
+
+        Raises
+        ------
+        UnansweredError
+        """
+        await pooled.adopt(session.values)
+        if statement.kind is not StatementKind.EXECUTE:
+            return statement.text
+        name = await pooled.prepare(session.prepared[statement.name])
+        return f"EXECUTE {name} {statement.argument}"
+
+    def writing(
+        self, group: str, writes: bool
+    ) -> contextlib.AbstractContextManager[None]:
+        """Count a statement as a running write if it is one."""
+        if not writes:
+            return contextlib.nullcontext()
+        return self.selector.leadership.write(group)
+
+    def _check_still_primary(self, request: StatementRequest, target: Target) -> None:
+        """Refuse to use a primary that was replaced while the statement waited."""
+        if target.record is None:
+            return
+        if self.selector.leadership.primary(request.route.group) != target.record:
+            raise _RetryError(Failure.NOT_PRIMARY, "the primary is being changed")
+
+    def _check(
+        self, request: StatementRequest, target: Target, answer: Answer
+    ) -> Answer:
+        failure = answer.failure
+        endpoint = target.pool.endpoint.id
+        if failure is None:
+            if request.writes:
+                self.acknowledge(request.route.group, target, answer.position)
+            return answer
+        if failure in NOT_RUN:
+            raise _RetryError(failure, f"{failure.name} {answer.reason}")
+        if not request.writes:
+            raise _RetryError(failure, f"{failure.name} {answer.reason}")
+        raise StatementFailedError(failure, answer.reason, endpoint)
+
+    def acknowledge(
+        self, group: str, target: Target, position: LogPosition | None
+    ) -> None:
+        """Note an acknowledged write.
+
+        Raises
+        ------
+        StatementFailedError
+            If the primary was replaced before the answer came.
+        """
+        if target.record is None:
+            return
+        epoch = target.record.epoch
+        if not self.selector.leadership.acknowledge(group, epoch, position):
+            raise StatementFailedError(
+                Failure.IN_DOUBT,
+                f"primary of epoch {epoch} was replaced before the answer",
+                target.pool.endpoint.id,
+            )
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -0,0 +1,246 @@
+"""Session of one caller."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.gateway.environment import Environment, Route
+from rosemaryward.decisions.gateway.execution import (
+    Executor,
+    SessionContext,
+    StatementFailedError,
+    StatementRequest,
+)
+from rosemaryward.decisions.gateway.observer import StatementObserver
+from rosemaryward.decisions.gateway.outcomes import Answer, ConnectionState, Failure, Reply
+from rosemaryward.decisions.gateway.statements import Statement, StatementKind
+from rosemaryward.decisions.gateway.transactions import Transaction
+
+__all__ = ["CallerChannel", "CallerSession"]
+
+IDLE = ConnectionState.IDLE
+TRANSACTION = ConnectionState.TRANSACTION
+FAILED_TRANSACTION = ConnectionState.FAILED_TRANSACTION
+
+
+class CallerChannel(Protocol):
+    """Connection to a caller."""
+
+    async def receive(self) -> Statement | None:
+        """Return the next statement, or None after the caller has left."""
+
+    async def send(self, statement: Statement, reply: Reply) -> None:
+        """Answer a statement."""
+
+
+class CallerSession:
+    """Serves the statements of one caller until it leaves.
+
+    Parameters
+    ----------
+    channel : CallerChannel
+    database : str
+    caller : str
+    executor : Executor
+    environment : callable
+        Returns the configuration in force.
+    observer : StatementObserver
+    clock : callable, optional
+
+    Attributes
+    ----------
+    ending : bool
+        Whether to close as soon as no statement and no transaction is open.
+    """
+
+    def __init__(
+        self,
+        channel: CallerChannel,
+        database: str,
+        caller: str,
+        executor: Executor,
+        environment: Callable[[], Environment],
+        observer: StatementObserver,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.channel = channel
+        self.database = database
+        self.context = SessionContext(caller)
+        self.executor = executor
+        self.environment = environment
+        self.observer = observer
+        self.clock = clock
+        self.transaction: Transaction | None = None
+        self.ending = False
+        self.waiting: anyio.CancelScope | None = None
+
+    @property
+    def state(self) -> ConnectionState:
+        """State of the session between two statements."""
+        if self.transaction is None:
+            return IDLE
+        return FAILED_TRANSACTION if self.transaction.failed else TRANSACTION
+
+    def end(self, abandon_transaction: bool = False) -> None:
+        """Close the session once it is idle.
+
+        Parameters
+        ----------
+        abandon_transaction : bool
+            Close it even if a transaction is open and no statement runs.
+        """
+        self.ending = True
+        if self.waiting is not None and (
+            self.transaction is None or abandon_transaction
+        ):
+            self.waiting.cancel()
+
+    async def run(self) -> None:
+        """Serve statements until the caller leaves or the session ends."""
+        try:
+            while not (self.ending and self.transaction is None):
+                statement = await self._receive()
+                if statement is None:
+                    return
+                started_at = self.clock()
+                reply, route, endpoint = await self._serve(statement, started_at)
+                await self.channel.send(statement, reply)
+                took_s = self.clock() - started_at
+                if route is not None:
+                    self.observer.answered(statement, route, endpoint, reply, took_s)
+        finally:
+            if self.transaction is not None:
+                await self.transaction.roll_back()
+
+    async def _receive(self) -> Statement | None:
+        """Wait for a statement; ends a transaction that stays idle too long."""
+        while True:
+            limit_s = None
+            if self.transaction is not None and not self.transaction.failed:
+                limit_s = self.environment().transaction_idle_s
+            deadline = None if limit_s is None else anyio.current_time() + limit_s
+            with anyio.CancelScope() as scope:
+                if deadline is not None:
+                    scope.deadline = deadline
+                self.waiting = scope
+                statement = await self.channel.receive()
+            self.waiting = None
+            if not scope.cancelled_caught:
+                return statement
+            if deadline is None or anyio.current_time() < deadline:
+                return None
+            if self.transaction is not None:
+                self.transaction.failed = True
+                await self.transaction.roll_back()
+
+    async def _serve(
+        self, statement: Statement, started_at: float
+    ) -> tuple[Reply, Route | None, str]:
+        transaction = self.transaction
+        if transaction is None:
+            route = self.environment().routes.get(self.database)
+        else:
+            route = transaction.route
+        if route is None:
+            reason = f"no route to {self.database}"
+            return self._failed(Failure.UNKNOWN_DATABASE, reason), None, ""
+        if statement.kind is StatementKind.UNREADABLE:
+            return self._failed(Failure.MALFORMED, statement.text), route, ""
+        if transaction is not None and transaction.failed:
+            return self._serve_failed(statement), route, ""
+        local = self._serve_locally(statement, route, started_at)
+        if local is not None:
+            return local, route, ""
+        try:
+            answer, endpoint = await self._forward(statement, route, started_at)
+        except StatementFailedError as error:
+            if statement.kind is StatementKind.COMMIT:
+                self.transaction = None
+            return self._failed(error.failure, error.reason), route, error.endpoint
+        return Reply(self.state, answer.rows, answer.signature), route, endpoint
+
+    def _serve_failed(self, statement: Statement) -> Reply:
+        """Answer a statement of a transaction that can only be rolled back."""
+        if statement.kind is StatementKind.ROLLBACK:
+            self.transaction = None
+            return Reply(IDLE)
+        if statement.kind is StatementKind.COMMIT:
+            self.transaction = None
+            return self._failed(Failure.ROLLED_BACK, "the transaction was rolled back")
+        return self._failed(Failure.MALFORMED, "the transaction has failed")
+
+    def _serve_locally(
+        self, statement: Statement, route: Route, started_at: float
+    ) -> Reply | None:
+        """Answer a statement that needs no endpoint yet, else return None."""
+        kind = statement.kind
+        context = self.context
+        if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ):
+            if self.transaction is not None:
+                return self._failed(Failure.MALFORMED, "a transaction is open")
+            read_only = kind is StatementKind.BEGIN_READ
+            self.transaction = Transaction(
+                self.executor, context, route, read_only, started_at
+            )
+        elif kind is StatementKind.SET_VALUE:
+            context.values[statement.name] = statement.argument
+        elif kind is StatementKind.PREPARE and statement.prepared is not None:
+            context.prepared[statement.name] = statement.prepared
+        elif kind is StatementKind.DEALLOCATE:
+            context.prepared.pop(statement.name, None)
+        elif kind is StatementKind.EXECUTE and statement.name not in context.prepared:
+            return self._failed(Failure.UNKNOWN_STATEMENT, statement.name)
+        elif (
+            kind in (StatementKind.COMMIT, StatementKind.ROLLBACK)
+            and self.transaction is None
+        ):
+            return self._failed(Failure.MALFORMED, "no transaction is open")
+        else:
+            return None
+        return Reply(self.state)
+
+    async def _forward(
+        self, statement: Statement, route: Route, started_at: float
+    ) -> tuple[Answer | Reply, str]:
+        """Run a statement at an endpoint; raises `StatementFailedError`."""
+        transaction = self.transaction
+        request = StatementRequest(
+            statement=statement,
+            route=route,
+            writes=self._writes(statement, transaction),
+            received_at=started_at if transaction is None else transaction.began_at,
+            expires_at=started_at + route.timeout_s,
+        )
+        if transaction is None:
+            answer, target = await self.executor.run(request, self.context)
+            if request.writes:
+                self._note_commit(answer)
+            return answer, target.pool.endpoint.id
+        if statement.kind is StatementKind.ROLLBACK:
+            endpoint = transaction.endpoint
+            await transaction.roll_back()
+            self.transaction = None
+            return Reply(IDLE), endpoint
+        answer = await transaction.run(request)
+        if statement.kind is StatementKind.COMMIT:
+            self.transaction = None
+            if not transaction.read_only:
+                self._note_commit(answer)
+        return answer, transaction.endpoint
+
+    def _writes(self, statement: Statement, transaction: Transaction | None) -> bool:
+        """Return whether the statement, or its transaction, needs the primary."""
+        if transaction is not None:
+            return not transaction.read_only
+        if statement.kind is StatementKind.EXECUTE:
+            return self.context.prepared[statement.name].writes
+        return statement.kind is StatementKind.WRITE
+
+    def _note_commit(self, answer: Answer) -> None:
+        if answer.position is not None:
+            self.context.position = max(self.context.position, answer.position)
+
+    def _failed(self, failure: Failure, reason: str) -> Reply:
+        return Reply(self.state, failure=failure, reason=reason)
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -0,0 +1,63 @@
+"""Statements as the callers' adapters hand them to the gateway."""
+
+from enum import Enum, auto
+
+import msgspec
+
+__all__ = ["Statement", "StatementKind", "PreparedStatement"]
+
+
+class StatementKind(Enum):
+    """What a statement asks for."""
+
+    BEGIN = auto()
+    BEGIN_READ = auto()
+    COMMIT = auto()
+    ROLLBACK = auto()
+    READ = auto()
+    WRITE = auto()
+    SET_VALUE = auto()
+    PREPARE = auto()
+    EXECUTE = auto()
+    DEALLOCATE = auto()
+    UNREADABLE = auto()
+
+
+class PreparedStatement(msgspec.Struct, frozen=True):
+    """A statement that a caller prepared.
+
+    Parameters
+    ----------
+    writes : bool
+    shape : str
+        Text that the endpoint prepares.
+    """
+
+    writes: bool
+    shape: str
+
+
+class Statement(msgspec.Struct, frozen=True):
+    """One request of a caller.
+
+    Parameters
+    ----------
+    request_id : str
+        Sent to the endpoint unchanged.
+    kind : StatementKind
+    text : str
+        Sent to the endpoint unchanged, but for the name of a prepared statement.
+    name : str
+        Name of a value or of a prepared statement.
+    argument : str
+        New value, or what follows the name of a prepared statement.
+    prepared : PreparedStatement, optional
+        What `PREPARE` prepares.
+    """
+
+    request_id: str
+    kind: StatementKind
+    text: str
+    name: str = ""
+    argument: str = ""
+    prepared: PreparedStatement | None = None
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -0,0 +1,223 @@
+"""A caller's open transaction and the connection that it is pinned to."""
+
+from collections.abc import Callable
+from types import TracebackType
+
+import anyio
+import structlog
+
+from rosemaryward.decisions.gateway.connections import (
+    OWN_REQUEST_ID,
+    PooledConnection,
+)
+from rosemaryward.decisions.gateway.environment import Route
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectError,
+    ConnectionState,
+    Failure,
+    UnansweredError,
+)
+from rosemaryward.decisions.gateway.execution import (
+    Executor,
+    SessionContext,
+    StatementFailedError,
+    StatementRequest,
+)
+from rosemaryward.decisions.gateway.statements import StatementKind
+from rosemaryward.decisions.gateway.targets import Target
+from rosemaryward.decisions.errors import OverloadError
+
+__all__ = ["Transaction"]
+
+ROLLBACK_TIMEOUT_S = 0.5
+
+log = structlog.get_logger(__name__)
+
+
+class Transaction:
+    """Transaction from its first statement to its end.
+
+    Parameters
+    ----------
+    executor : Executor
+    session : SessionContext
+    route : Route
+        Route in force when it began.
+    read_only : bool
+    began_at : float
+        Boot time at which its `BEGIN` was received, in seconds.
+
+    Attributes
+    ----------
+    failed : bool
+        Whether it can only be rolled back.
+    """
+
+    def __init__(
+        self,
+        executor: Executor,
+        session: SessionContext,
+        route: Route,
+        read_only: bool,
+        began_at: float,
+    ) -> None:
+        self.executor = executor
+        self.session = session
+        self.route = route
+        self.read_only = read_only
+        self.began_at = began_at
+        self.failed = False
+        self.pooled: PooledConnection | None = None
+        self.target: Target | None = None
+
+    async def __aenter__(self) -> "Transaction":
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.roll_back()
+
+    @property
+    def endpoint(self) -> str:
+        """Endpoint that the transaction runs at, empty before its first statement."""
+        return "" if self.target is None else self.target.pool.endpoint.id
+
+    async def run(self, request: StatementRequest) -> Answer:
+        """Run a statement inside the transaction.
+
+        Raises
+        ------
+        StatementFailedError
+            The transaction is then rolled back or, for `COMMIT`, over.
+        """
+        commits = request.statement.kind is StatementKind.COMMIT
+        try:
+            answer = await self._run(request)
+        except BaseException:
+            self.failed = True
+            await self.roll_back()
+            raise
+        if commits:
+            self._end()
+        return answer
+
+    async def roll_back(self) -> None:
+        """End the transaction without keeping anything; keeps no connection."""
+        pooled, target = self.pooled, self.target
+        if pooled is None or target is None:
+            return
+        self.pooled = None
+        with anyio.CancelScope(shield=True):
+            try:
+                if not pooled.broken:
+                    with anyio.fail_after(ROLLBACK_TIMEOUT_S):
+                        answer = await pooled.execute(OWN_REQUEST_ID, "ROLLBACK")
+                    pooled.broken = answer.state is not ConnectionState.IDLE
+            except (UnansweredError, TimeoutError) as error:
+                # Closing the connection rolls back as well.
+                log.info("rollback unanswered", endpoint=self.endpoint, error=str(error))
+            finally:
+                target.pool.give_back(pooled)
+
+    def _end(self) -> None:
+        if self.pooled is not None and self.target is not None:
+            self.target.pool.give_back(self.pooled)
+        self.pooled = None
+
+    async def _run(self, request: StatementRequest) -> Answer:
+        if self.pooled is None:
+            await self._pin(request)
+        assert self.pooled is not None and self.target is not None
+        pooled, target = self.pooled, self.target
+        statement = request.statement
+        commits = statement.kind is StatementKind.COMMIT
+        sent = False
+        left_s = max(request.expires_at - self.executor.clock(), 0.0)
+        try:
+            async with self.executor.slot(target.pool, request, self.session):
+                with anyio.fail_after(left_s):
+                    text = await self.executor.prepare(statement, self.session, pooled)
+                    sent = True
+                    sent_at = self.executor.clock()
+                    with self.executor.writing(self.route.group, commits):
+                        answer = await pooled.execute(statement.request_id, text)
+        except OverloadError as error:
+            raise StatementFailedError(
+                Failure.ROLLED_BACK, f"rolled back: {error}", self.endpoint
+            ) from error
+        except (UnansweredError, TimeoutError) as error:
+            reason = str(error) or f"no answer in {left_s:.3f} s"
+            target.pool.note_failure(reason)
+            failure = Failure.IN_DOUBT if commits and sent else Failure.ROLLED_BACK
+            raise StatementFailedError(failure, reason, self.endpoint) from error
+        self.executor.selector.record_answer(target, sent_at, answer)
+        if answer.failure is not None:
+            raise StatementFailedError(
+                self._failure(answer.failure, commits), answer.reason, self.endpoint
+            )
+        if commits and not self.read_only:
+            self.executor.acknowledge(self.route.group, target, answer.position)
+        return answer
+
+    def _failure(self, failure: Failure, commits: bool) -> Failure:
+        """Return what a failure inside the transaction means to the caller."""
+        if not commits or failure in (Failure.NOT_PRIMARY, Failure.BUSY):
+            return Failure.ROLLED_BACK
+        return failure
+
+    async def _pin(self, request: StatementRequest) -> None:
+        """Begin at an endpoint; tries others while nothing has run."""
+        tried: set[str] = set()
+        while True:
+            target = await self.executor.wait_for_target(request, self.session, tried)
+            try:
+                self.pooled = await self._begin(request, target)
+                self.target = target
+                return
+            except ConnectError as error:
+                endpoint = target.pool.endpoint.id
+                self.executor.attempt_failed(
+                    request.statement, self.route, endpoint, error.reason
+                )
+                tried.add(endpoint)
+                if self.executor.clock() >= request.expires_at:
+                    raise StatementFailedError(
+                        Failure.BUSY, error.reason, endpoint
+                    ) from error
+
+    async def _begin(self, request: StatementRequest, target: Target) -> PooledConnection:
+        """Open the transaction at an endpoint; raises `ConnectError`."""
+        text = "BEGIN READ" if self.read_only else "BEGIN"
+        pool = target.pool
+        left_s = max(request.expires_at - self.executor.clock(), 0.0)
+        pooled = await pool.take(left_s)
+        try:
+            with anyio.fail_after(left_s):
+                await pooled.adopt(self.session.values)
+                self._check_still_primary(target)
+                sent_at = self.executor.clock()
+                answer = await pooled.execute(OWN_REQUEST_ID, text, target.since)
+            self.executor.selector.record_answer(target, sent_at, answer)
+            if answer.failure is not None:
+                raise ConnectError(answer.failure, f"BEGIN failed: {answer.reason}")
+        except (UnansweredError, TimeoutError) as error:
+            reason = str(error) or f"no answer in {left_s:.3f} s"
+            pool.note_failure(reason)
+            pool.give_back(pooled)
+            raise ConnectError(Failure.BUSY, reason) from error
+        except BaseException:
+            pool.give_back(pooled)
+            raise
+        return pooled
+
+    def _check_still_primary(self, target: Target) -> None:
+        if target.record is None:
+            return
+        leadership = self.executor.selector.leadership
+        if leadership.primary(self.route.group) != target.record:
+            raise ConnectError(Failure.NOT_PRIMARY, "the primary is being changed")
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -0,0 +1,166 @@
+"""The duty to change primaries, held by one proxy at a time."""
+
+from collections.abc import Callable
+
+import anyio
+import msgspec
+import structlog
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.errors import ConflictError, StoreError
+from rosemaryward.decisions.mirror import LeaseLostError, LeaseStore
+
+__all__ = ["DutyRecord", "FailoverDuty"]
+
+LEASE_S = 3.0
+RENEWAL_S = 1.0
+MARGIN_S = 0.5  # of the lease, left unused by the holder
+POLL_S = 0.25
+
+log = structlog.get_logger(__name__)
+
+
+class DutyRecord(msgspec.Struct, frozen=True):
+    """Holder of the duty.
+
+    Parameters
+    ----------
+    holder : str
+        Name of the proxy, empty after it gave the duty back.
+    incarnation : str
+    """
+
+    holder: str
+    incarnation: str
+
+
+class FailoverDuty:
+    """This proxy's part in holding the duty.
+
+    The fencing token is the store's revision of the write that took the duty: it
+    grows with every change of the holder and is never used twice.
+
+    Parameters
+    ----------
+    store : LeaseStore
+    key : str
+        Key of the record.
+    name, incarnation : str
+    patience_s : float
+        Time that this proxy leaves to others before it takes a free duty.
+    clock : callable, optional
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        key: str,
+        name: str,
+        incarnation: str,
+        patience_s: float,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.store = store
+        self.key = key
+        self.holder = name
+        self.incarnation = incarnation
+        self.patience_s = patience_s
+        self.clock = clock
+        self.record: DutyRecord | None = None
+        self.revision = 0
+        self.token = 0
+        self.free_since = clock()
+        self.lease_id = 0
+        self.renewed_at = float("-inf")
+
+    def observe(self, record: DutyRecord, revision: int) -> None:
+        """Take over the record as written in the store."""
+        if revision <= self.revision:
+            return
+        self.record = record
+        self.revision = revision
+        self.free_since = self.clock()
+        log.info("duty observed", holder=record.holder, token=revision)
+
+    def removed(self) -> None:
+        """Note that the record's lease ended or was taken back."""
+        log.info("duty key removed", holder=self.record and self.record.holder)
+        self.record = None
+        self.revision = 0
+        self.free_since = self.clock()
+
+    def is_held(self) -> bool:
+        """Return whether this process certainly holds the duty."""
+        record = self.record
+        return (
+            record is not None
+            and record.incarnation == self.incarnation
+            and self.revision == self.token
+            and self.clock() < self.renewed_at + LEASE_S - MARGIN_S
+        )
+
+    async def run(self) -> None:
+        """Take the duty when it is free and renew it while it is held."""
+        while True:
+            pause_s = POLL_S
+            try:
+                if self._is_mine():
+                    await self._renew()
+                    pause_s = RENEWAL_S
+                elif self._is_free():
+                    await self._take()
+            except ConflictError:
+                log.info("duty taken by another proxy")
+            except StoreError as error:
+                log.info("duty call unanswered", error=str(error))
+            await anyio.sleep(pause_s)
+
+    async def give_back(self) -> None:
+        """Let another proxy take the duty at once."""
+        if not self.is_held():
+            return
+        self.token = 0
+        value = msgspec.json.encode(DutyRecord("", self.incarnation))
+        try:
+            await self.store.write(self.key, value, self.revision)
+            log.info("duty given back")
+        except StoreError as error:
+            log.info("duty not given back", error=str(error))
+
+    def _is_mine(self) -> bool:
+        record = self.record
+        return record is not None and record.incarnation == self.incarnation
+
+    def _is_free(self) -> bool:
+        record = self.record
+        waited_s = self.clock() - self.free_since
+        if record is None:
+            # The key may have been taken back while its holder still acts.
+            return waited_s >= LEASE_S + self.patience_s
+        if record.holder == self.holder:
+            return True  # an earlier process of this proxy
+        return not record.holder and waited_s >= self.patience_s
+
+    async def _renew(self) -> None:
+        sent_at = self.clock()
+        try:
+            await self.store.renew_lease(self.lease_id)
+        except LeaseLostError:
+            log.warning("duty lease lost", token=self.token)
+            self.renewed_at = float("-inf")
+            self.lease_id = 0
+            return
+        self.renewed_at = sent_at
+
+    async def _take(self) -> None:
+        sent_at = self.clock()
+        self.lease_id = await self.store.grant_lease(LEASE_S)
+        record = DutyRecord(self.holder, self.incarnation)
+        value = msgspec.json.encode(record)
+        revision = await self.store.write(
+            self.key, value, self.revision, self.lease_id
+        )
+        self.token = revision
+        self.renewed_at = sent_at
+        self.observe(record, revision)
+        log.info("duty taken", token=revision)
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -0,0 +1,184 @@
+"""Records of primaries, and how long a proxy may rely on them."""
+
+import contextlib
+from collections.abc import Callable, Iterator
+
+import anyio
+import msgspec
+import structlog
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.types import LogPosition
+
+__all__ = ["CONFIRMATION_S", "GroupRecord", "Leadership"]
+
+CONFIRMATION_S = 8.0  # outages of the store shorter than this stop no primary
+DRAIN_WRITES_S = 0.15
+DRAIN_POLL_S = 0.005
+
+log = structlog.get_logger(__name__)
+
+
+class GroupRecord(msgspec.Struct, frozen=True, kw_only=True):
+    """Primary of a group as agreed in the store.
+
+    Parameters
+    ----------
+    epoch : int
+        Raised by every change.
+    primary : str
+        Endpoint that leads or, while changing, the one that led.
+    serving : bool
+        False while the primary is being changed.
+    holder : str
+        Proxy that wrote the record.
+    """
+
+    epoch: int
+    primary: str
+    serving: bool
+    holder: str
+
+
+class Leadership:
+    """A proxy's knowledge of the primaries, with its age.
+
+    Parameters
+    ----------
+    clock : callable, optional
+        Boot time in seconds.
+
+    Attributes
+    ----------
+    records : dict of str to GroupRecord
+        Newest record of each group.
+    revisions : dict of str to int
+        Store revision of each record, for a change under a condition.
+    confirmed_at : float
+        When the read was sent that last confirmed the records.
+    fenced : dict of str to int
+        Epoch below which a group's primary must not be used.
+    closed : dict of str to int
+        Epoch below which answers to writes are no longer believed.
+    writing : dict of str to dict
+        When each write that runs at a group's primary was sent.
+    acknowledged : dict of str to LogPosition
+        Newest position of an acknowledged write of each group.
+    """
+
+    __slots__ = (
+        "acknowledged",
+        "clock",
+        "closed",
+        "confirmed_at",
+        "fenced",
+        "on_change",
+        "records",
+        "revisions",
+        "writing",
+    )
+
+    def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
+        self.clock = clock
+        self.records: dict[str, GroupRecord] = {}
+        self.revisions: dict[str, int] = {}
+        self.fenced: dict[str, int] = {}
+        self.closed: dict[str, int] = {}
+        self.writing: dict[str, dict[object, float]] = {}
+        self.acknowledged: dict[str, LogPosition] = {}
+        self.confirmed_at = float("-inf")
+        self.on_change: list[Callable[[str], None]] = []
+
+    def observe(self, group: str, record: GroupRecord, revision: int) -> None:
+        """Take over a record, unless a newer one is known."""
+        if revision <= self.revisions.get(group, 0):
+            return
+        if record.serving:
+            self.closed[group] = max(self.closed.get(group, 0), record.epoch)
+        self.records[group] = record
+        self.revisions[group] = revision
+        log.info(
+            "primary record observed",
+            group=group,
+            primary=record.primary,
+            epoch=record.epoch,
+            serving=record.serving,
+            holder=record.holder,
+            revision=revision,
+        )
+        for notify in self.on_change:
+            notify(group)
+
+    def confirm(self, sent_at: float) -> None:
+        """Note that a read of all records was sent at a time and answered."""
+        self.confirmed_at = max(self.confirmed_at, sent_at)
+
+    def fence(self, group: str, epoch: int) -> None:
+        """Stop using primaries of earlier epochs."""
+        if epoch <= self.fenced.get(group, 0):
+            return
+        self.fenced[group] = epoch
+        log.info("primary fenced", group=group, epoch=epoch)
+        for notify in self.on_change:
+            notify(group)
+
+    async def fence_and_drain(self, group: str, epoch: int) -> LogPosition:
+        """Fence a primary and wait for a bounded time until its writes are answered.
+
+        Returns
+        -------
+        LogPosition
+            Newest position of an acknowledged write. Later answers of writes that
+            were sent before the fence count as unknown.
+        """
+        self.fence(group, epoch)
+        give_up_at = self.clock() + DRAIN_WRITES_S
+        while self.writing.get(group) and self.clock() < give_up_at:
+            await anyio.sleep(DRAIN_POLL_S)
+        self.closed[group] = max(self.closed.get(group, 0), epoch)
+        return self.acknowledged.get(group, LogPosition())
+
+    @contextlib.contextmanager
+    def write(self, group: str) -> Iterator[None]:
+        """Count a write that runs at a group's primary."""
+        running = self.writing.setdefault(group, {})
+        write = object()
+        running[write] = self.clock()
+        try:
+            yield
+        finally:
+            del running[write]
+
+    def longest_write_s(self, group: str) -> float:
+        """Return for how long the oldest write at a group's primary has run."""
+        running = self.writing.get(group)
+        return self.clock() - min(running.values()) if running else 0.0
+
+    def acknowledge(self, group: str, epoch: int, position: LogPosition | None) -> bool:
+        """Note an acknowledged write.
+
+        Returns
+        -------
+        bool
+            False if the primary was replaced meanwhile, so that the write may be
+            missing from the new primary's log.
+        """
+        if epoch < self.closed.get(group, 0):
+            return False
+        if position is not None:
+            known = self.acknowledged.get(group, LogPosition())
+            self.acknowledged[group] = max(known, position)
+        return True
+
+    def is_confirmed(self) -> bool:
+        """Return whether no unseen change can have taken effect."""
+        return self.clock() < self.confirmed_at + CONFIRMATION_S
+
+    def primary(self, group: str) -> GroupRecord | None:
+        """Return the record of a primary that may be used now, or None."""
+        record = self.records.get(group)
+        if record is None or not record.serving or not self.is_confirmed():
+            return None
+        if record.epoch < self.fenced.get(group, 0):
+            return None
+        return record
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -0,0 +1,204 @@
+"""Watches the primaries while this proxy holds the duty to change them."""
+
+import contextlib
+from collections.abc import Callable
+
+import anyio
+import structlog
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.errors import EndpointError, PeerError, RosemarywardError
+from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.leadership.change import PrimaryChange, RecordWriter
+from rosemaryward.decisions.leadership.control import GroupControl
+from rosemaryward.decisions.leadership.duty import FailoverDuty
+from rosemaryward.decisions.leadership.members import (
+    MemberDirectory,
+    MemberRecord,
+    PeerChannel,
+    ReachRequest,
+)
+from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.types import LogPosition
+
+__all__ = ["GroupSupervisor"]
+
+CHECK_INTERVAL_S = 0.25
+PROBE_AFTER_S = 0.4  # without an answer to a statement
+SUSPECT_AFTER_S = 1.0
+STALL_LIMIT_S = 0.7
+STALL_SUSPECT_S = 0.4  # age of a write without an answer
+STALL_CHECK_S = 0.25
+
+log = structlog.get_logger(__name__)
+
+
+class GroupSupervisor:
+    """Supervises one group.
+
+    Parameters
+    ----------
+    group : str
+    duty : FailoverDuty
+    directory : EndpointDirectory
+    leadership : Leadership
+    members : MemberDirectory
+    peers : PeerChannel
+    control : GroupControl
+    writer : RecordWriter
+    new_change : callable
+        Returns a `PrimaryChange` of the group.
+    clock : callable, optional
+    """
+
+    def __init__(  # noqa: PLR0913
+        self,
+        group: str,
+        duty: FailoverDuty,
+        directory: EndpointDirectory,
+        leadership: Leadership,
+        members: MemberDirectory,
+        peers: PeerChannel,
+        control: GroupControl,
+        writer: RecordWriter,
+        new_change: Callable[[str], PrimaryChange],
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.group = group
+        self.duty = duty
+        self.directory = directory
+        self.leadership = leadership
+        self.members = members
+        self.peers = peers
+        self.control = control
+        self.writer = writer
+        self.new_change = new_change
+        self.clock = clock
+        self.watched = ""
+        self.watched_since = 0.0
+        self.stalled_since: float | None = None
+        self.stalled_at = LogPosition()
+        self.checked_at = 0.0
+
+    async def run(self) -> None:
+        """Check the primary at a fixed interval until cancelled."""
+        while True:
+            if self.duty.is_held():
+                try:
+                    await self.check()
+                except RosemarywardError as error:
+                    log.warning("supervision failed", group=self.group, error=str(error))
+            else:
+                self.watched = ""
+            await anyio.sleep(CHECK_INTERVAL_S)
+
+    async def check(self) -> None:
+        """Replace the primary if it has to be."""
+        record = self.leadership.records.get(self.group)
+        if record is None:
+            await self._adopt_first()
+            return
+        reason = await self._reason(record)
+        if reason and self.duty.is_held():
+            await self.new_change(self.group).run(reason)
+            self.watched = ""
+
+    async def _adopt_first(self) -> None:
+        """Record the primary of a group that has none yet."""
+        claims = [e for e in self.directory.in_group(self.group) if e.claims_primary]
+        if len(claims) != 1:
+            return
+        record = GroupRecord(
+            epoch=1, primary=claims[0].id, serving=True, holder=self.duty.holder
+        )
+        revision = await self.writer.write(self.group, record, 0)
+        self.leadership.observe(self.group, record, revision)
+
+    async def _reason(self, record: GroupRecord) -> str:
+        """Return why the primary must be replaced, empty if it need not."""
+        if not record.serving:
+            return "unfinished change"
+        endpoint = self.directory.endpoints.get(record.primary)
+        if endpoint is None:
+            return "primary gone"
+        if endpoint.leaving:
+            return "primary leaving"
+        if self.watched != record.primary:
+            self.watched = record.primary
+            self.watched_since = self.clock()
+            self.stalled_since = None
+        if await self._is_silent(record.primary):
+            return "primary silent"
+        if await self._is_stalled(record.primary):
+            return "primary cut off from its replicas"
+        return ""
+
+    async def _is_silent(self, endpoint_id: str) -> bool:
+        pool = self.directory.pools[endpoint_id]
+        now = self.clock()
+        if now - max(pool.answered_at, self.watched_since) < PROBE_AFTER_S:
+            return False
+        try:
+            await self.control.status(endpoint_id)
+            return False
+        except EndpointError as error:
+            silent_s = self.clock() - max(pool.answered_at, self.watched_since)
+            log.info(
+                "primary probe failed",
+                endpoint=endpoint_id,
+                silent_s=round(silent_s, 3),
+                error=str(error),
+            )
+            if silent_s < SUSPECT_AFTER_S:
+                return False
+        return await self._is_lost_to_most(endpoint_id)
+
+    async def _is_lost_to_most(self, endpoint_id: str) -> bool:
+        """Return whether less than half of the members reach an endpoint."""
+        answers: dict[str, bool] = {self.duty.holder: False}
+
+        async def ask(member: MemberRecord) -> None:
+            try:
+                answers[member.name] = await self.peers.reaches(
+                    member, ReachRequest(endpoint_id)
+                )
+            except PeerError as error:
+                log.info("member unreachable", member=member.name, error=str(error))
+
+        async with anyio.create_task_group() as tasks:
+            for member in self.members.members.values():
+                if member.name != self.duty.holder:
+                    tasks.start_soon(ask, member)
+        reached = sum(answers.values())
+        log.info(
+            "primary suspected", endpoint=endpoint_id, reached=reached, asked=len(answers)
+        )
+        return reached * 2 < len(answers)
+
+    async def _is_stalled(self, endpoint_id: str) -> bool:
+        """Return whether the primary's log grows while no replica receives it."""
+        now = self.clock()
+        waiting_s = self.leadership.longest_write_s(self.group)
+        if waiting_s < STALL_SUSPECT_S or now - self.checked_at < STALL_CHECK_S:
+            return False
+        self.checked_at = now
+        received: list[LogPosition] = []
+        try:
+            lead = (await self.control.status(endpoint_id)).received
+        except EndpointError:
+            self.stalled_since = None
+            return False
+        for endpoint in self.directory.in_group(self.group):
+            if endpoint.id != endpoint_id:
+                with contextlib.suppress(EndpointError):  # counts as receiving nothing
+                    received.append((await self.control.status(endpoint.id)).received)
+        if not received:
+            return False
+        best = max(received)
+        if best >= lead:
+            self.stalled_since = None
+            return False
+        if self.stalled_since is None or best > self.stalled_at:
+            self.stalled_since = now
+            self.stalled_at = best
+        return now - self.stalled_since >= STALL_LIMIT_S
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -0,0 +1,191 @@
+"""Mirror of the store, kept current by one watch and checked by reads.
+
+A watch can be silent while changes are made, and its connection can be silent for
+good. A read of the confirmed prefix at a fixed interval shows both: it returns the
+store's revision, which the watch must reach soon afterwards.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import anyio
+import structlog
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.errors import StoreError
+from rosemaryward.decisions.mirror.store import (
+    Changes,
+    HistoryLostError,
+    LeaseStore,
+    Listing,
+    StoredValue,
+)
+
+__all__ = ["StoreMirror", "Subscriber"]
+
+EVERYTHING = ""
+WATCH_WAIT_S = 20.0
+CONFIRM_INTERVAL_S = 1.5
+CATCH_UP_S = 0.4  # a watch that is further behind than this has missed changes
+RETRY_PAUSE_S = 0.25
+
+log = structlog.get_logger(__name__)
+
+
+class Subscriber(Protocol):
+    """Receives the changes of one prefix, in the order of their revisions per key."""
+
+    def written(self, stored: StoredValue) -> None:
+        """Take over a value."""
+
+    def removed(self, key: str) -> None:
+        """Forget a value."""
+
+
+class StoreMirror:
+    """Copy of the store's revisions that feeds subscribers.
+
+    Parameters
+    ----------
+    store : LeaseStore
+    subscribers : dict of str to Subscriber
+        By prefix.
+    confirmed_prefix : str
+        Read at a fixed interval.
+    on_confirmed : callable
+        Called with the boot time at which an answered read was sent.
+    clock : callable, optional
+
+    Attributes
+    ----------
+    revision : int
+        Revision up to which all changes are known.
+    loaded : anyio.Event
+        Set after the first complete listing.
+    """
+
+    def __init__(
+        self,
+        store: LeaseStore,
+        subscribers: dict[str, Subscriber],
+        confirmed_prefix: str,
+        on_confirmed: Callable[[float], None],
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.store = store
+        self.subscribers = subscribers
+        self.confirmed_prefix = confirmed_prefix
+        self.on_confirmed = on_confirmed
+        self.clock = clock
+        self.revision = 0
+        self.revisions: dict[str, int] = {}
+        self.removals: dict[str, int] = {}
+        self.loaded = anyio.Event()
+        self.reachable = True
+        self.watch_scope: anyio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._follow)
+            tasks.start_soon(self._confirm)
+
+    async def reload(self) -> None:
+        """Read everything; raises `StoreError`."""
+        listing = await self.store.list(EVERYTHING)
+        present = {stored.key for stored in listing.values}
+        for stored in listing.values:
+            self._written(stored)
+        for key, revision in list(self.revisions.items()):
+            # A key written after the listing began is not known to be removed.
+            if key not in present and revision <= listing.revision:
+                self._removed(key, listing.revision)
+        self.revision = max(self.revision, listing.revision)
+        self.loaded.set()
+
+    async def _follow(self) -> None:
+        lost = True
+        while True:
+            with anyio.CancelScope() as self.watch_scope:
+                try:
+                    if lost:
+                        await self.reload()
+                        self._note_reachable(True, "")
+                        lost = False
+                    changes = await self.store.watch(
+                        EVERYTHING, self.revision, WATCH_WAIT_S
+                    )
+                    self._apply(changes)
+                except HistoryLostError:
+                    log.info("store history lost", revision=self.revision)
+                    lost = True
+                except StoreError as error:
+                    self._note_reachable(False, str(error))
+                    await anyio.sleep(RETRY_PAUSE_S)
+            if self.watch_scope.cancelled_caught:
+                lost = True
+
+    async def _confirm(self) -> None:
+        await self.loaded.wait()
+        while True:
+            sent_at = self.clock()
+            try:
+                listing = await self.store.list(self.confirmed_prefix)
+            except StoreError as error:
+                self._note_reachable(False, str(error))
+                await anyio.sleep(RETRY_PAUSE_S)
+                continue
+            for stored in listing.values:
+                self._written(stored)
+            self.on_confirmed(sent_at)
+            self._note_reachable(True, "")
+            await anyio.sleep(CATCH_UP_S)
+            self._check_watch(listing)
+            await anyio.sleep(max(sent_at + CONFIRM_INTERVAL_S - self.clock(), 0.0))
+
+    def _check_watch(self, listing: Listing) -> None:
+        if self.revision >= listing.revision or self.watch_scope is None:
+            return
+        log.warning(
+            "watch behind the store",
+            watch_revision=self.revision,
+            store_revision=listing.revision,
+        )
+        self.watch_scope.cancel()
+
+    def _apply(self, changes: Changes) -> None:
+        for stored in changes.written:
+            self._written(stored)
+        for key, revision in changes.removed:
+            self._removed(key, revision)
+        self.revision = max(self.revision, changes.revision)
+
+    def _written(self, stored: StoredValue) -> None:
+        known = max(
+            self.revisions.get(stored.key, 0), self.removals.get(stored.key, 0)
+        )
+        if stored.revision <= known:
+            return
+        self.revisions[stored.key] = stored.revision
+        self.removals.pop(stored.key, None)
+        for prefix, subscriber in self.subscribers.items():
+            if stored.key.startswith(prefix):
+                subscriber.written(stored)
+
+    def _removed(self, key: str, revision: int) -> None:
+        if revision < self.revisions.get(key, 0) or key not in self.revisions:
+            return
+        del self.revisions[key]
+        self.removals[key] = revision
+        for prefix, subscriber in self.subscribers.items():
+            if key.startswith(prefix):
+                subscriber.removed(key)
+
+    def _note_reachable(self, reachable: bool, reason: str) -> None:
+        if reachable == self.reachable:
+            return
+        self.reachable = reachable
+        if reachable:
+            log.info("store regained", revision=self.revision)
+        else:
+            log.warning("store lost", reason=reason, revision=self.revision)
--- a/packages/rosemaryward-platform/src/rosemaryward/platform/__init__.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/__init__.py
@@ -3,7 +3,7 @@
 Imports only `rosemaryward.decisions`.
 """
 
-from rosemaryward.platform.etcd import EtcdStore
-from rosemaryward.platform.hosts import HttpHostList
+from rosemaryward.etcd.store import EtcdStore
+from rosemaryward.etcd.hosts import HttpHostList
 
 __all__ = ["EtcdStore", "HttpHostList"]
--- a/packages/rosemaryward-platform/src/rosemaryward/platform/etcd.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/store.py
@@ -11,7 +11,7 @@
 
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.decisions.interfaces import VersionedValue
-from rosemaryward.platform.wire import (
+from rosemaryward.etcd.wire import (
     KeyValue,
     RangeReply,
     TxnReply,
--- a/packages/rosemaryward-platform/src/rosemaryward/platform/tests/test_platform.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/tests/test_store.py
@@ -6,8 +6,8 @@
 import pytest
 
 from rosemaryward.decisions.errors import ConflictError, StoreError
-from rosemaryward.platform import EtcdStore, HttpHostList
-from rosemaryward.platform.wire import prefix_end
+from rosemaryward.etcd import EtcdStore, HttpHostList
+from rosemaryward.etcd.wire import prefix_end
 
 HOST = {
     "host_id": "p1",
--- /dev/null
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
@@ -0,0 +1,121 @@
+"""Rare requests between members: fence a primary, report whether an endpoint answers.
+
+Each request uses its own TCP connection, so that a connection that went silent
+cannot delay a fence.
+"""
+
+from collections.abc import Awaitable, Callable
+
+import anyio
+import msgspec
+import structlog
+from anyio.abc import SocketStream
+from anyio.streams.buffered import BufferedByteReceiveStream
+
+from rosemaryward.decisions.errors import PeerError
+from rosemaryward.decisions.leadership.members import (
+    FenceReply,
+    FenceRequest,
+    MemberRecord,
+    ReachReply,
+    ReachRequest,
+)
+
+__all__ = ["FleetChannel", "FleetServer"]
+
+REQUEST_TIMEOUT_S = 0.6  # a reach request includes a probe of an endpoint
+LENGTH_SIZE = 4  # bytes
+MAX_MESSAGE_SIZE = 64 * 1024  # bytes
+
+Request = FenceRequest | ReachRequest
+Reply = FenceReply | ReachReply
+
+log = structlog.get_logger(__name__)
+
+_encoder = msgspec.msgpack.Encoder()
+_request_decoder: msgspec.msgpack.Decoder[Request] = msgspec.msgpack.Decoder(Request)
+_reply_decoder: msgspec.msgpack.Decoder[Reply] = msgspec.msgpack.Decoder(Reply)
+
+_FAILURES = (
+    anyio.EndOfStream,
+    anyio.IncompleteRead,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    msgspec.DecodeError,
+    OSError,
+)
+
+
+class FleetChannel:
+    """Sends requests to other members."""
+
+    async def fence(self, member: MemberRecord, request: FenceRequest) -> FenceReply:
+        """Ask a member to stop using a primary; raises `PeerError`."""
+        reply = await self._request(member, request)
+        if not isinstance(reply, FenceReply):
+            raise PeerError(f"{member.name}: expected a fence, got {reply!r}")
+        return reply
+
+    async def reaches(self, member: MemberRecord, request: ReachRequest) -> bool:
+        """Ask a member whether an endpoint answers; raises `PeerError`."""
+        reply = await self._request(member, request)
+        return isinstance(reply, ReachReply) and reply.answered
+
+    async def _request(self, member: MemberRecord, request: Request) -> Reply:
+        host, _, port = member.address.rpartition(":")
+        try:
+            with anyio.fail_after(REQUEST_TIMEOUT_S):
+                async with await anyio.connect_tcp(host, int(port)) as stream:
+                    await _send(stream, request)
+                    return _reply_decoder.decode(await _receive(stream))
+        except (TimeoutError, *_FAILURES) as error:
+            raise PeerError(f"{member.name}: {error!r}") from error
+
+
+class FleetServer:
+    """Answers requests of other members.
+
+    Parameters
+    ----------
+    address : str
+        ``host:port``.
+    handler : callable
+        Returns the reply to a request.
+    """
+
+    def __init__(
+        self, address: str, handler: Callable[[Request], Awaitable[Reply]]
+    ) -> None:
+        self.address = address
+        self.handler = handler
+
+    async def run(self) -> None:
+        """Answer until cancelled."""
+        host, _, port = self.address.rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=host, local_port=int(port)
+        )
+        async with listener:
+            await listener.serve(self._serve)
+
+    async def _serve(self, stream: SocketStream) -> None:
+        try:
+            async with stream:
+                with anyio.fail_after(REQUEST_TIMEOUT_S):
+                    request = _request_decoder.decode(await _receive(stream))
+                await _send(stream, await self.handler(request))
+        except (TimeoutError, *_FAILURES) as error:
+            log.info("member request failed", error=repr(error))
+
+
+async def _send(stream: SocketStream, message: Request | Reply) -> None:
+    body = _encoder.encode(message)
+    await stream.send(len(body).to_bytes(LENGTH_SIZE, "big") + body)
+
+
+async def _receive(stream: SocketStream) -> bytes:
+    reader = BufferedByteReceiveStream(stream)
+    length = int.from_bytes(await reader.receive_exactly(LENGTH_SIZE), "big")
+    if length > MAX_MESSAGE_SIZE:
+        raise PeerError(f"message of {length} bytes")
+    return await reader.receive_exactly(length)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
@@ -44,7 +44,7 @@
 from rosemaryward.operators.tokens import Role, TokenEntry, TokenRegistry, hash_token
 from rosemaryward.peers.gossip import GossipEndpoint
 from rosemaryward.peers.statements import StatementClient, StatementServer
-from rosemaryward.platform import EtcdStore, HttpHostList
+from rosemaryward.etcd import EtcdStore, HttpHostList
 from rosemaryward.proxy.contexts import ContextRunner
 from rosemaryward.proxy.directory import ClusterDirectory
 from rosemaryward.proxy.encryption import ProxyTls
--- /dev/null
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -0,0 +1,57 @@
+"""Entry point of a proxy on the users' platform."""
+
+import os
+import signal
+import sys
+from pathlib import Path
+
+import anyio
+import structlog
+import uvloop
+
+from rosemaryward.decisions.errors import SettingsError
+from rosemaryward.operators.bounded_logs import configure_bounded
+from rosemaryward.platform.settings import read_settings
+from rosemaryward.proxy.platform_node import PlatformNode
+
+__all__ = ["main"]
+
+SETTINGS_VARIABLE = "ROSEMARYWARD_BOOT"
+EXIT_USAGE = 2
+
+
+def main() -> None:
+    """Run a proxy until SIGTERM or SIGINT."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        print(f"rosemaryward-proxy: {error}", file=sys.stderr)
+        raise SystemExit(EXIT_USAGE) from error
+    configure_bounded(settings.name)
+    node = PlatformNode(settings, path)
+    anyio.run(
+        run_node, node, backend_options={"loop_factory": uvloop.new_event_loop}
+    )
+
+
+async def run_node(node: PlatformNode) -> None:
+    """Run a proxy until a signal asks for its shutdown."""
+    stopping = anyio.Event()
+    log = structlog.get_logger(__name__)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(node.run, stopping)
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                log.info("signal received", signal=signal.Signals(number).name)
+                if number == signal.SIGHUP:
+                    node.reload()
+                else:
+                    stopping.set()
+                    break
+
+
+if __name__ == "__main__":
+    main()
