Confirm primaries through members while the store is away

Registrations now outlive the process, a dead member is expelled, confirmations hold for 4 s and are passed on between members.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -24,6 +24,8 @@
 CONNECT_TIMEOUT_S = 0.6  # covers one lost opening packet between regions
 AVOID_FIRST_S = 0.5
 AVOID_LIMIT_S = 4.0
+RETURN_WAIT_S = 0.15  # for a connection of this proxy when no more are accepted
+LIMIT_PAUSE_S = 0.1
 OWN_REQUEST_ID = "-"  # marks statements of the proxy itself
 
 log = structlog.get_logger(__name__)
@@ -153,7 +155,10 @@
         self.answered_at = float("-inf")
         self.failed_at = float("-inf")
         self.avoid_until = float("-inf")
+        self.avoid_s = 0.0
+        self.limited_until = float("-inf")
         self.failures = 0
+        self.returned = anyio.Event()
         self.position = LogPosition()
         self.closed = False
 
@@ -168,6 +173,7 @@
         if self.failures:
             log.info("endpoint regained", endpoint=self.endpoint.id)
         self.failures = 0
+        self.avoid_s = 0.0
         self.avoid_until = float("-inf")
         if answer.position is not None and answer.position > self.position:
             self.position = answer.position
@@ -179,8 +185,8 @@
         if not self.failures:
             log.warning("endpoint lost", endpoint=self.endpoint.id, reason=reason)
         self.failures += 1
-        pause_s = min(AVOID_FIRST_S * 2 ** (self.failures - 1), AVOID_LIMIT_S)
-        self.avoid_until = now + pause_s
+        self.avoid_s = min(self.avoid_s * 2.0 or AVOID_FIRST_S, AVOID_LIMIT_S)
+        self.avoid_until = now + self.avoid_s
         # Other connections may be silent as well; a new one shows it sooner.
         self.discard_idle()
 
@@ -196,23 +202,46 @@
         ------
         ConnectError
         """
-        while self.idle:
-            pooled = self.idle.pop()
-            if not pooled.broken:
-                return pooled
+        give_up_at = self.clock() + min(wait_s, RETURN_WAIT_S)
+        while True:
+            if self.idle:
+                return self.idle.pop()
+            if self.clock() >= self.limited_until:
+                try:
+                    return await self._open(wait_s)
+                except ConnectError as error:
+                    if error.failure is not Failure.CONNECTION_LIMIT:
+                        self.note_failure(error.reason)
+                        raise
+                    self._note_limit(error.reason)
+            left_s = min(give_up_at, self.limited_until) - self.clock()
+            if self.clock() >= give_up_at:
+                raise ConnectError(Failure.CONNECTION_LIMIT, "no connection is free")
+            with anyio.move_on_after(max(left_s, 0.0)):
+                await self.returned.wait()
+
+    async def _open(self, wait_s: float) -> PooledConnection:
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, max(wait_s, 0.001))):
                 connection = await self.connector.connect(self.endpoint)
         except TimeoutError:
-            self.note_failure("no answer to a new connection")
             raise ConnectError(Failure.BUSY, "no answer to a new connection") from None
-        except ConnectError as error:
-            if error.failure is not Failure.CONNECTION_LIMIT:
-                self.note_failure(error.reason)
-            raise
         self.opened += 1
         return PooledConnection(connection)
 
+    def _note_limit(self, reason: str) -> None:
+        """Record that the endpoint lives but accepts no more connections."""
+        now = self.clock()
+        if now >= self.limited_until + LIMIT_PAUSE_S:
+            log.info(
+                "connection limit",
+                endpoint=self.endpoint.id,
+                opened=self.opened,
+                reason=reason,
+            )
+        self.answered_at = now
+        self.limited_until = now + LIMIT_PAUSE_S
+
     def give_back(self, pooled: PooledConnection) -> None:
         """Keep a connection for later use, or close it if it is unusable."""
         if pooled.broken or self.closed:
@@ -221,6 +250,8 @@
             return
         pooled.idle_since = self.clock()
         self.idle.append(pooled)
+        self.returned.set()
+        self.returned = anyio.Event()
 
     @contextlib.asynccontextmanager
     async def connection(self, wait_s: float) -> AsyncIterator[PooledConnection]:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -28,7 +28,7 @@
 
 __all__ = ["Executor", "SessionContext", "StatementFailedError", "StatementRequest"]
 
-HOLD_SHARE = 0.25  # of the target latency, for a statement without a usable endpoint
+HOLD_SHARE = 0.2  # of the target latency, for a statement without a usable endpoint
 RETRY_PAUSE_S = 0.02
 READ_ATTEMPT_SHARE = 0.5  # of the time left, so that a second endpoint can answer
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,6 +1,6 @@
 """Change of a group's primary, step by step."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -10,6 +10,7 @@
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import EndpointError, PeerError, RosemarywardError
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.control import (
     EndpointStatus,
     GroupControl,
@@ -83,6 +84,10 @@
     control : GroupControl
     promoter : Promoter
     writer : RecordWriter
+    confirmation : Confirmation
+        Told that a change may have been announced.
+    refresh_members : callable
+        Reads the members from the store; raises `StoreError`.
     clock : callable, optional
     """
 
@@ -97,6 +102,8 @@
         control: GroupControl,
         promoter: Promoter,
         writer: RecordWriter,
+        confirmation: Confirmation,
+        refresh_members: Callable[[], Awaitable[None]],
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.group = group
@@ -108,6 +115,8 @@
         self.control = control
         self.promoter = promoter
         self.writer = writer
+        self.confirmation = confirmation
+        self.refresh_members = refresh_members
         self.clock = clock
         self.acknowledged = LogPosition()
         self.everyone_answered = False
@@ -121,6 +130,13 @@
             If the duty is lost or no replica can be promoted safely.
         StoreError
         """
+        self.confirmation.changing += 1
+        try:
+            await self._run(reason)
+        finally:
+            self.confirmation.changing -= 1
+
+    async def _run(self, reason: str) -> None:
         started_at = self.clock()
         record = await self._announce(reason)
         announced_at = self.clock()
@@ -170,31 +186,33 @@
         request = FenceRequest(self.group, record.epoch)
         lapsed_at = announced_at + CONFIRMATION_S + CONFIRMATION_MARGIN_S
         fenced: set[str] = set()
+        # A member that is not listed after the announcement has read it.
+        await self.refresh_members()
         while self.clock() < lapsed_at:
-            waiting = [
-                member
-                for member in self.members.may_use_primaries()
-                if member.incarnation not in fenced
-            ]
-            if not waiting and self.members.complete:
-                self.everyone_answered = True
-                return
+            waiting = self._unfenced(fenced)
             async with anyio.create_task_group() as tasks:
                 for member in waiting:
                     tasks.start_soon(self._fence_member, member, request, fenced)
             self._check_duty()
-            if any(
-                member.incarnation not in fenced
-                for member in self.members.may_use_primaries()
-            ) or not self.members.complete:
-                await anyio.sleep(FENCE_RETRY_S)
+            if not self._unfenced(fenced):
+                self.everyone_answered = True
+                return
+            await anyio.sleep(FENCE_RETRY_S)
         log.warning(
             "members not fenced",
             group=self.group,
             epoch=record.epoch,
+            members=[member.name for member in self._unfenced(fenced)],
             waited_s=CONFIRMATION_S + CONFIRMATION_MARGIN_S,
         )
 
+    def _unfenced(self, fenced: set[str]) -> list[MemberRecord]:
+        return [
+            member
+            for member in self.members.may_use_primaries()
+            if member.incarnation not in fenced
+        ]
+
     async def _fence_member(
         self, member: MemberRecord, request: FenceRequest, fenced: set[str]
     ) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -16,6 +16,7 @@
 RENEWAL_S = 1.0
 MARGIN_S = 0.5  # of the lease, left unused by the holder
 POLL_S = 0.25
+NEWCOMER_WAIT_S = 10.0
 
 log = structlog.get_logger(__name__)
 
@@ -48,6 +49,8 @@
     name, incarnation : str
     patience_s : float
         Time that this proxy leaves to others before it takes a free duty.
+    first_start : bool
+        Whether the whole fleet starts for the first time.
     clock : callable, optional
     """
 
@@ -58,6 +61,7 @@
         name: str,
         incarnation: str,
         patience_s: float,
+        first_start: bool,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.store = store
@@ -65,10 +69,12 @@
         self.holder = name
         self.incarnation = incarnation
         self.patience_s = patience_s
+        self.first_start = first_start
         self.clock = clock
         self.record: DutyRecord | None = None
         self.revision = 0
         self.token = 0
+        self.started_at = clock()
         self.free_since = clock()
         self.lease_id = 0
         self.renewed_at = float("-inf")
@@ -134,11 +140,15 @@
     def _is_free(self) -> bool:
         record = self.record
         waited_s = self.clock() - self.free_since
+        if record is not None and record.holder == self.holder:
+            return True  # an earlier process of this proxy
+        # Members that outlive an outage of the store rely on no newcomer changing a
+        # primary meanwhile.
+        if not self.first_start and self.clock() < self.started_at + NEWCOMER_WAIT_S:
+            return False
         if record is None:
             # The key may have been taken back while its holder still acts.
             return waited_s >= LEASE_S + self.patience_s
-        if record.holder == self.holder:
-            return True  # an earlier process of this proxy
         return not record.holder and waited_s >= self.patience_s
 
     async def _renew(self) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -1,4 +1,10 @@
-"""Members of the fleet as registered in the store, and requests between them."""
+"""Members of the fleet as registered in the store, and requests between them.
+
+A member's registration outlives its process, so that a change of primary knows every
+proxy that may still rely on a confirmation. A second key, bound to a lease, tells
+whether the process lives. The holder of the duty expels a member whose lease ended;
+an expelled member that lives registers again before it uses a primary.
+"""
 
 from collections.abc import Callable
 from typing import Protocol
@@ -7,10 +13,12 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
-from rosemaryward.decisions.leadership.records import CONFIRMATION_S
+from rosemaryward.decisions.leadership.records import CONFIRMATION_S, GroupRecord
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = [
+    "ConfirmationReply",
+    "ConfirmationRequest",
     "FenceReply",
     "FenceRequest",
     "MemberDirectory",
@@ -20,11 +28,13 @@
     "ReachRequest",
 ]
 
+EXPULSION_MARGIN_S = 0.2  # drift of the clocks over one confirmation
+
 log = structlog.get_logger(__name__)
 
 
 class MemberRecord(msgspec.Struct, frozen=True):
-    """A running proxy.
+    """A proxy that may use primaries.
 
     Parameters
     ----------
@@ -33,11 +43,14 @@
         ``host:port`` for requests of other members.
     incarnation : str
         Differs between two processes of the same name.
+    expelled : bool
+        Whether the member must register again before it uses a primary.
     """
 
     name: str
     address: str
     incarnation: str
+    expelled: bool = False
 
 
 class FenceRequest(msgspec.Struct, frozen=True, tag="fence"):
@@ -74,6 +87,33 @@
     answered: bool
 
 
+class ConfirmationRequest(msgspec.Struct, frozen=True, tag="confirm"):
+    """Report what the store last confirmed to the member."""
+
+    incarnation: str
+
+
+class ConfirmationReply(msgspec.Struct, frozen=True, tag="confirmed"):
+    """What the store last confirmed to a member.
+
+    Parameters
+    ----------
+    age_s : float
+        Time since the member sent the read that the store answered.
+    registered : bool
+        Whether that read showed the asking process as a member.
+    changing : bool
+        Whether the member may have announced a change of a primary since.
+    records : dict of str to tuple of GroupRecord and int
+        Group records with their revisions.
+    """
+
+    age_s: float
+    registered: bool
+    changing: bool
+    records: dict[str, tuple[GroupRecord, int]]
+
+
 class PeerChannel(Protocol):
     """Requests to other members; every method raises `PeerError`."""
 
@@ -83,49 +123,85 @@
     async def reaches(self, member: MemberRecord, request: ReachRequest) -> bool:
         """Ask a member whether an endpoint answers."""
 
+    async def confirmation(
+        self, member: MemberRecord, request: ConfirmationRequest
+    ) -> ConfirmationReply:
+        """Ask a member what the store last confirmed to it."""
 
-class MemberDirectory:
-    """Members known now or a short while ago.
 
-    A member whose key vanished may still rely on a confirmation, because the platform
-    can take keys back without the member knowing. It counts until no confirmation
-    that it can have is left.
+class MemberDirectory:
+    """Registered members and those whose process lives.
 
     Parameters
     ----------
     clock : callable, optional
+
+    Attributes
+    ----------
+    members : dict of str to MemberRecord
+        By name.
+    revisions : dict of str to int
+        Store revision of each registration.
+    alive : dict of str to float
+        Boot time at which the process of a name was seen to live.
     """
 
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
         self.clock = clock
         self.members: dict[str, MemberRecord] = {}
-        self.vanished: dict[str, tuple[MemberRecord, float]] = {}
-        self.started_at = clock()
+        self.revisions: dict[str, int] = {}
+        self.expelled_at: dict[str, float] = {}
+        self.alive: set[str] = set()
+        self.dead_since: dict[str, float] = {}
 
-    def observe(self, member: MemberRecord) -> None:
+    def observe(self, member: MemberRecord, revision: int) -> None:
         """Add a member; a new process of the same name replaces the old one."""
-        if self.members.get(member.name) == member:
+        if revision <= self.revisions.get(member.name, 0):
             return
-        log.info("member observed", member=member.name, address=member.address)
+        log.info(
+            "member observed",
+            member=member.name,
+            address=member.address,
+            incarnation=member.incarnation,
+            expelled=member.expelled,
+            revision=revision,
+        )
         self.members[member.name] = member
-        self.vanished.pop(member.name, None)
+        self.revisions[member.name] = revision
+        self.expelled_at.pop(member.name, None)
+        if member.expelled:
+            self.expelled_at[member.name] = self.clock()
+        if member.name not in self.alive:
+            self.dead_since.setdefault(member.name, self.clock())
 
     def lose(self, name: str) -> None:
-        """Note that a member's key was removed."""
-        member = self.members.pop(name, None)
-        if member is not None:
-            log.info("member key removed", member=name)
-            self.vanished[name] = (member, self.clock())
+        """Note that a member ended its registration."""
+        if self.members.pop(name, None) is not None:
+            log.info("member left", member=name)
+        self.revisions.pop(name, None)
+        self.expelled_at.pop(name, None)
+        self.dead_since.pop(name, None)
+
+    def note_alive(self, name: str) -> None:
+        """Note that the process of a member lives."""
+        self.alive.add(name)
+        self.dead_since.pop(name, None)
+
+    def note_dead(self, name: str) -> None:
+        """Note that the lease of a member's process ended or was taken back."""
+        self.alive.discard(name)
+        if name in self.members:
+            self.dead_since.setdefault(name, self.clock())
 
     def may_use_primaries(self) -> list[MemberRecord]:
         """Return the members that may hold a confirmation."""
-        limit = self.clock() - CONFIRMATION_S
-        for name, (_, since) in list(self.vanished.items()):
-            if since <= limit:
-                del self.vanished[name]
-        return [*self.members.values(), *(m for m, _ in self.vanished.values())]
-
-    @property
-    def complete(self) -> bool:
-        """Whether no member can be unknown that still holds a confirmation."""
-        return self.clock() >= self.started_at + CONFIRMATION_S
+        limit = self.clock() - CONFIRMATION_S - EXPULSION_MARGIN_S
+        return [
+            member
+            for name, member in self.members.items()
+            if self.expelled_at.get(name, self.clock()) > limit
+        ]
+
+    def registered(self) -> list[MemberRecord]:
+        """Return the members that are not expelled."""
+        return [member for member in self.members.values() if not member.expelled]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -12,7 +12,7 @@
 
 __all__ = ["CONFIRMATION_S", "GroupRecord", "Leadership"]
 
-CONFIRMATION_S = 8.0  # outages of the store shorter than this stop no primary
+CONFIRMATION_S = 4.0  # a change waits as long for a member that cannot be reached
 DRAIN_WRITES_S = 0.15
 DRAIN_POLL_S = 0.005
 
@@ -170,9 +170,13 @@
             self.acknowledged[group] = max(known, position)
         return True
 
+    def confirmed_for_s(self) -> float:
+        """Return for how long the records stay confirmed, negative if they are not."""
+        return self.confirmed_at + CONFIRMATION_S - self.clock()
+
     def is_confirmed(self) -> bool:
         """Return whether no unseen change can have taken effect."""
-        return self.clock() < self.confirmed_at + CONFIRMATION_S
+        return self.confirmed_for_s() > 0.0
 
     def primary(self, group: str) -> GroupRecord | None:
         """Return the record of a primary that may be used now, or None."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -53,7 +53,8 @@
     confirmed_prefix : str
         Read at a fixed interval.
     on_confirmed : callable
-        Called with the boot time at which an answered read was sent.
+        Called with the boot time at which an answered read was sent, and with the
+        values that it returned.
     clock : callable, optional
 
     Attributes
@@ -69,7 +70,7 @@
         store: LeaseStore,
         subscribers: dict[str, Subscriber],
         confirmed_prefix: str,
-        on_confirmed: Callable[[float], None],
+        on_confirmed: Callable[[float, Listing], None],
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.store = store
@@ -82,6 +83,7 @@
         self.removals: dict[str, int] = {}
         self.loaded = anyio.Event()
         self.reachable = True
+        self.confirm_now = anyio.Event()
         self.watch_scope: anyio.CancelScope | None = None
 
     async def run(self) -> None:
@@ -103,6 +105,10 @@
         self.revision = max(self.revision, listing.revision)
         self.loaded.set()
 
+    def confirm_soon(self) -> None:
+        """Read the confirmed prefix now rather than at the next interval."""
+        self.confirm_now.set()
+
     async def _follow(self) -> None:
         lost = True
         while True:
@@ -137,11 +143,14 @@
                 continue
             for stored in listing.values:
                 self._written(stored)
-            self.on_confirmed(sent_at)
+            self.on_confirmed(sent_at, listing)
             self._note_reachable(True, "")
             await anyio.sleep(CATCH_UP_S)
             self._check_watch(listing)
-            await anyio.sleep(max(sent_at + CONFIRM_INTERVAL_S - self.clock(), 0.0))
+            pause_s = max(sent_at + CONFIRM_INTERVAL_S - self.clock(), 0.0)
+            with anyio.move_on_after(pause_s):
+                await self.confirm_now.wait()
+                self.confirm_now = anyio.Event()
 
     def _check_watch(self, listing: Listing) -> None:
         if self.revision >= listing.revision or self.watch_scope is None:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
@@ -1,4 +1,4 @@
-"""Rare requests between members: fence a primary, report whether an endpoint answers.
+"""Rare requests between members: fences, reachability, relayed confirmations.
 
 Each request uses its own TCP connection, so that a connection that went silent
 cannot delay a fence.
@@ -14,6 +14,8 @@
 
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.leadership.members import (
+    ConfirmationReply,
+    ConfirmationRequest,
     FenceReply,
     FenceRequest,
     MemberRecord,
@@ -27,8 +29,8 @@
 LENGTH_SIZE = 4  # bytes
 MAX_MESSAGE_SIZE = 64 * 1024  # bytes
 
-Request = FenceRequest | ReachRequest
-Reply = FenceReply | ReachReply
+Request = FenceRequest | ReachRequest | ConfirmationRequest
+Reply = FenceReply | ReachReply | ConfirmationReply
 
 log = structlog.get_logger(__name__)
 
@@ -61,6 +63,15 @@
         reply = await self._request(member, request)
         return isinstance(reply, ReachReply) and reply.answered
 
+    async def confirmation(
+        self, member: MemberRecord, request: ConfirmationRequest
+    ) -> ConfirmationReply:
+        """Ask what the store last confirmed to a member; raises `PeerError`."""
+        reply = await self._request(member, request)
+        if not isinstance(reply, ConfirmationReply):
+            raise PeerError(f"{member.name}: expected a confirmation, got {reply!r}")
+        return reply
+
     async def _request(self, member: MemberRecord, request: Request) -> Reply:
         host, _, port = member.address.rpartition(":")
         try:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -22,8 +22,11 @@
 from rosemaryward.decisions.gateway.session import CallerSession
 from rosemaryward.decisions.gateway.targets import TargetSelector
 from rosemaryward.decisions.leadership.change import PrimaryChange
+from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.duty import DutyRecord, FailoverDuty
 from rosemaryward.decisions.leadership.members import (
+    ConfirmationReply,
+    ConfirmationRequest,
     FenceReply,
     FenceRequest,
     MemberDirectory,
@@ -36,6 +39,7 @@
 from rosemaryward.decisions.mirror import (
     LeaseLostError,
     LeaseStore,
+    Listing,
     StoredValue,
     StoreMirror,
 )
@@ -57,13 +61,18 @@
 
 __all__ = ["PlatformNode"]
 
-KEY_PREFIX = "rosemaryward/"
-MEMBER_PREFIX = KEY_PREFIX + "members/"
-GROUP_PREFIX = KEY_PREFIX + "groups/"
-DUTY_KEY = KEY_PREFIX + "duty"
-
-MEMBER_LEASE_S = 10.0
-MEMBER_RENEWAL_S = 3.0
+AGREED_PREFIX = "rosemaryward/"  # read at a fixed interval, so it stays small
+MEMBER_PREFIX = AGREED_PREFIX + "members/"
+GROUP_PREFIX = AGREED_PREFIX + "groups/"
+DUTY_KEY = "rosemaryward-duty"
+ALIVE_PREFIX = "rosemaryward-alive/"
+
+ALIVE_LEASE_S = 6.0
+ALIVE_RENEWAL_S = 2.0
+EXPEL_AFTER_S = 2.0  # a lease that was taken back early is renewed sooner
+EXPEL_INTERVAL_S = 1.0
+FORGET_AFTER_S = 60.0
+UNREADY_AFTER_S = 2.0  # left of a confirmation; the balancer needs two misses
 RETRY_PAUSE_S = 0.3
 SWEEP_INTERVAL_S = 0.25
 SETTINGS_POLL_S = 1.0
@@ -73,6 +82,7 @@
 TRANSACTION_SHARE = 0.45  # of the grace period
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
+FIRST_CONFIGURATION_S = 1.5  # callers wait 2 s for the answer to their start-up
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -150,6 +160,7 @@
         self.settings_path = settings_path
         self.incarnation = secrets.token_hex(8)
         self.environment = NO_ENVIRONMENT
+        self.configured = anyio.Event()
         self.metrics = ProxyMetrics(settings.name)
         self.statements = StatementLog(self.metrics)
         self.store = PlatformStore(settings.store_address)
@@ -169,15 +180,18 @@
             settings.name,
             self.incarnation,
             secrets.randbelow(1000) * PATIENCE_LIMIT_S / 1000,
+            settings.first_start,
+        )
+        self.confirmation = Confirmation(
+            self.incarnation, self.leadership, self.peers
         )
         self.mirror = StoreMirror(
-            self.store, self._subscribers(), GROUP_PREFIX, self.leadership.confirm
+            self.store, self._subscribers(), AGREED_PREFIX, self._note_read
         )
         self.sessions: set[CallerSession] = set()
         self.supervised: set[str] = set()
         self.draining = False
-        self.member_lease = 0
-        self.member_revision = 0
+        self.alive_lease = 0
 
     def _subscribers(self) -> dict[str, RecordSubscriber]:
         subscribers = [
@@ -187,7 +201,12 @@
             RecordSubscriber(
                 REGISTRATION_PREFIX, self._observe_endpoint, self.directory.lose
             ),
-            RecordSubscriber(MEMBER_PREFIX, self._observe_member, self._lose_member),
+            RecordSubscriber(MEMBER_PREFIX, self._observe_member, self.members.lose),
+            RecordSubscriber(
+                ALIVE_PREFIX,
+                lambda name, stored: self.members.note_alive(name),
+                self.members.note_dead,
+            ),
             RecordSubscriber(GROUP_PREFIX, self._observe_group, self._group_removed),
             RecordSubscriber(DUTY_KEY, self._observe_duty, self._duty_removed),
         ]
@@ -208,6 +227,8 @@
                 self.mirror.run,
                 self._register,
                 self._hold_duty,
+                self._expel,
+                self.confirmation.run,
                 self._sweep,
                 self._supervise,
                 self._watch_settings,
@@ -261,19 +282,25 @@
 
     def is_ready(self) -> bool:
         """Return whether the proxy can serve callers."""
-        if self.draining or not self.mirror.loaded.is_set():
+        if self.draining or self.environment.version == 0:
             return False
-        return self.environment.version > 0 and bool(self.directory.endpoints)
+        return self.leadership.confirmed_for_s() > UNREADY_AFTER_S
 
     # Adapters' servers
 
     def _caller_server(self) -> CallerLineServer:
         return CallerLineServer(
             self.settings.caller_address,
-            lambda database: database in self.environment.routes,
+            self._knows,
             self._serve_caller,
         )
 
+    async def _knows(self, database: str) -> bool:
+        """Return whether a route has a name, waiting for the first configuration."""
+        with anyio.move_on_after(FIRST_CONFIGURATION_S):
+            await self.configured.wait()
+        return database in self.environment.routes
+
     async def _serve_caller(
         self, channel: LineCallerChannel, database: str, caller: str
     ) -> None:
@@ -307,19 +334,33 @@
         return HttpAnswers(self.settings.metrics_address, {"/metrics": answer})
 
     async def _answer_member(
-        self, request: FenceRequest | ReachRequest
-    ) -> FenceReply | ReachReply:
+        self, request: FenceRequest | ReachRequest | ConfirmationRequest
+    ) -> FenceReply | ReachReply | ConfirmationReply:
         if isinstance(request, FenceRequest):
             position = await self.leadership.fence_and_drain(
                 request.group, request.epoch
             )
             return FenceReply(self.incarnation, position)
+        if isinstance(request, ConfirmationRequest):
+            return self.confirmation.reply(request)
+        return ReachReply(await self._reaches(request.endpoint))
+
+    async def _reaches(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint answers, if only that it is at its limit."""
+        asked_at = boot_time_s()
         try:
-            await self.control.status(request.endpoint)
+            await self.control.status(endpoint_id)
         except EndpointError as error:
-            log.info("endpoint not reached", endpoint=request.endpoint, error=str(error))
-            return ReachReply(False)
-        return ReachReply(True)
+            pool = self.directory.pools.get(endpoint_id)
+            answered = pool is not None and pool.answered_at >= asked_at
+            log.info(
+                "endpoint probed",
+                endpoint=endpoint_id,
+                answered=answered,
+                error=str(error),
+            )
+            return answered
+        return True
 
     # Values in the store
 
@@ -328,6 +369,7 @@
         if environment.version <= self.environment.version:
             return
         self.environment = environment
+        self.configured.set()
         self.metrics.set_tenants(environment.routes)
         self.metrics.set_configuration(environment.version, 0.0)
         log.info(
@@ -346,14 +388,27 @@
         )
 
     def _observe_member(self, name: str, stored: StoredValue) -> None:
-        self.members.observe(msgspec.json.decode(stored.value, type=MemberRecord))
-        if name == self.settings.name:
-            self.member_revision = stored.revision
-
-    def _lose_member(self, name: str) -> None:
-        self.members.lose(name)
-        if name == self.settings.name:
-            self.member_revision = 0
+        record = msgspec.json.decode(stored.value, type=MemberRecord)
+        self.members.observe(record, stored.revision)
+
+    def _note_read(self, sent_at: float, listing: Listing) -> None:
+        """Confirm the records if the read shows this process as a member."""
+        members = []
+        for stored in listing.values:
+            if stored.key.startswith(MEMBER_PREFIX):
+                try:
+                    record = msgspec.json.decode(stored.value, type=MemberRecord)
+                except msgspec.DecodeError as error:
+                    log.warning("unreadable member", key=stored.key, error=str(error))
+                    continue
+                members.append(record)
+        self.confirmation.note_read(sent_at, members)
+
+    async def _refresh_members(self) -> None:
+        """Read the members from the store; raises `StoreError`."""
+        listing = await self.store.list(MEMBER_PREFIX)
+        for stored in listing.values:
+            self._observe_member(stored.key, stored)
 
     def _observe_group(self, name: str, stored: StoredValue) -> None:
         record = msgspec.json.decode(stored.value, type=GroupRecord)
@@ -372,44 +427,85 @@
     # Tasks
 
     async def _register(self) -> None:
-        """Keep this proxy's member key in the store."""
+        """Keep this proxy registered and its lease alive."""
         await self.mirror.loaded.wait()
-        name, address = self.settings.name, self.settings.peer_address
-        record = MemberRecord(name, address, self.incarnation)
-        value = msgspec.json.encode(record)
         while True:
-            pause_s = MEMBER_RENEWAL_S
+            pause_s = ALIVE_RENEWAL_S
             try:
-                if self.members.members.get(name) != record or not self.member_lease:
-                    self.member_lease = await self.store.grant_lease(MEMBER_LEASE_S)
-                    self.member_revision = await self.store.write(
-                        MEMBER_PREFIX + name,
-                        value,
-                        self.member_revision,
-                        self.member_lease,
-                    )
-                    self.members.observe(record)
-                else:
-                    await self.store.renew_lease(self.member_lease)
+                await self._renew_registration()
             except LeaseLostError:
-                log.warning("member lease lost")
-                self.member_lease = 0
+                log.warning("lease lost", lease=self.alive_lease)
+                self.alive_lease = 0
                 pause_s = RETRY_PAUSE_S
-            except ConflictError:
-                log.info("member key changed by another process of this name")
+            except ConflictError as error:
+                log.info("registration changed meanwhile", error=str(error))
                 pause_s = RETRY_PAUSE_S
             except StoreError as error:
-                log.info("member call unanswered", error=str(error))
+                log.info("registration unanswered", error=str(error))
                 pause_s = RETRY_PAUSE_S
             await anyio.sleep(pause_s)
 
-    async def _unregister(self) -> None:
-        if not self.member_lease:
+    async def _renew_registration(self) -> None:
+        """Renew the lease; register and take a lease where there is none.
+
+        Raises
+        ------
+        StoreError
+        """
+        name = self.settings.name
+        record = MemberRecord(name, self.settings.peer_address, self.incarnation)
+        if self.members.members.get(name) != record:
+            revision = await self.store.write(
+                MEMBER_PREFIX + name,
+                msgspec.json.encode(record),
+                self.members.revisions.get(name, 0),
+            )
+            self.members.observe(record, revision)
+            self.mirror.confirm_soon()
+        if self.alive_lease:
+            await self.store.renew_lease(self.alive_lease)
             return
+        lease = await self.store.grant_lease(ALIVE_LEASE_S)
+        key = ALIVE_PREFIX + name
+        known = self.mirror.revisions.get(key, 0)
+        await self.store.write(key, self.incarnation.encode(), known, lease)
+        self.alive_lease = lease
+
+    async def _unregister(self) -> None:
+        name = self.settings.name
         try:
-            await self.store.end_lease(self.member_lease)
+            await self.store.delete(
+                MEMBER_PREFIX + name, self.members.revisions.get(name, 0)
+            )
+            await self.store.end_lease(self.alive_lease)
         except StoreError as error:
-            log.info("member key not removed", error=str(error))
+            log.info("registration not removed", error=str(error))
+
+    async def _expel(self) -> None:
+        """Expel members whose process is gone, while this proxy holds the duty."""
+        while True:
+            await anyio.sleep(EXPEL_INTERVAL_S)
+            if not self.duty.is_held():
+                continue
+            for name, since in list(self.members.dead_since.items()):
+                dead_s = boot_time_s() - since
+                member = self.members.members.get(name)
+                if member is None or dead_s < EXPEL_AFTER_S:
+                    continue
+                try:
+                    await self._expel_member(member, dead_s)
+                except StoreError as error:
+                    log.info("member not expelled", member=name, error=str(error))
+
+    async def _expel_member(self, member: MemberRecord, dead_s: float) -> None:
+        key = MEMBER_PREFIX + member.name
+        revision = self.members.revisions[member.name]
+        if not member.expelled:
+            record = msgspec.structs.replace(member, expelled=True)
+            value = msgspec.json.encode(record)
+            self.members.observe(record, await self.store.write(key, value, revision))
+        elif dead_s > FORGET_AFTER_S:
+            await self.store.delete(key, revision)
 
     async def _hold_duty(self) -> None:
         await self.mirror.loaded.wait()
@@ -419,6 +515,10 @@
         while True:
             await anyio.sleep(SWEEP_INTERVAL_S)
             self.directory.sweep()
+            if not self.leadership.is_confirmed():
+                # Callers that connect again reach a proxy that can serve them.
+                for session in list(self.sessions):
+                    session.end()
 
     async def _supervise(self) -> None:
         """Start a supervisor for each group that appears."""
@@ -454,6 +554,8 @@
             self.control,
             self.promoter,
             self.writer,
+            self.confirmation,
+            self._refresh_members,
         )
 
     async def _watch_settings(self) -> None:
