Never take a duty that was taken meanwhile; avoid only endpoints that are silent

A lost answer no longer makes an endpoint that answers others suspect, and a silent primary fails statements without a connection attempt each.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -7,7 +7,7 @@
 import anyio
 import structlog
 
-from rosemaryward.decisions.admission import AdmissionQueue
+from rosemaryward.decisions.admission import AdmissionQueue, AdmissionSettings
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.environment import Endpoint
 from rosemaryward.decisions.gateway.outcomes import (
@@ -149,7 +149,11 @@
         self.endpoint = endpoint
         self.connector = connector
         self.clock = clock
-        self.queue = AdmissionQueue(endpoint.slots, {})
+        # Several proxies share the slots, so the latency that one of them observes
+        # says little about how many statements it may run.
+        self.queue = AdmissionQueue(
+            endpoint.slots, {}, AdmissionSettings(adaptive=False)
+        )
         self.idle: list[PooledConnection] = []
         self.opened = 0
         self.answered_at = float("-inf")
@@ -190,6 +194,15 @@
         # Other connections may be silent as well; a new one shows it sooner.
         self.discard_idle()
 
+    def note_timeout(self, sent_at: float, reason: str) -> None:
+        """Record that a statement sent at a time was not answered.
+
+        An endpoint that has answered other statements since then lost one answer; it
+        is not avoided.
+        """
+        if self.answered_at < sent_at:
+            self.note_failure(reason)
+
     async def take(self, wait_s: float) -> PooledConnection:
         """Return an idle connection or open one.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -228,6 +228,7 @@
         left_s = request.expires_at - now
         attempt_s = left_s if writes else left_s * READ_ATTEMPT_SHARE
         sent = False
+        sent_at = now
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
                 text = await self.prepare(request.statement, session, pooled)
@@ -240,7 +241,7 @@
                     )
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {attempt_s:.3f} s"
-            pool.note_failure(reason)
+            pool.note_timeout(sent_at, reason)
             if sent and writes:
                 raise StatementFailedError(
                     Failure.IN_DOUBT, reason, pool.endpoint.id
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -72,7 +72,9 @@
         if record is None:
             return None
         pool = self.directory.pools.get(record.primary)
-        return None if pool is None else Target(pool, record)
+        if pool is None or pool.suspect:
+            return None
+        return Target(pool, record)
 
     def read(
         self,
@@ -130,7 +132,7 @@
 
     def _prefers(self, pool: EndpointPool) -> bool:
         """Return whether the primary is near and has a free slot."""
-        if pool.suspect or distance(pool.endpoint.place, self.place) != SAME_DOMAIN:
+        if distance(pool.endpoint.place, self.place) != SAME_DOMAIN:
             return False
         return pool.queue.running < pool.queue.limit
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -1,6 +1,7 @@
 """A caller's open transaction and the connection that it is pinned to."""
 
-from collections.abc import Callable
+import contextlib
+from contextlib import AbstractAsyncContextManager
 from types import TracebackType
 
 import anyio
@@ -132,14 +133,20 @@
     async def _run(self, request: StatementRequest) -> Answer:
         if self.pooled is None:
             await self._pin(request)
+            assert self.target is not None
+            slot: AbstractAsyncContextManager[object] = self.executor.slot(self.target.pool, request, self.session)
+        else:
+            # Others may wait for what an open transaction holds, so it never queues.
+            slot = contextlib.nullcontext()
         assert self.pooled is not None and self.target is not None
         pooled, target = self.pooled, self.target
         statement = request.statement
         commits = statement.kind is StatementKind.COMMIT
         sent = False
+        sent_at = self.executor.clock()
         left_s = max(request.expires_at - self.executor.clock(), 0.0)
         try:
-            async with self.executor.slot(target.pool, request, self.session):
+            async with slot:
                 with anyio.fail_after(left_s):
                     text = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
@@ -152,7 +159,7 @@
             ) from error
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {left_s:.3f} s"
-            target.pool.note_failure(reason)
+            target.pool.note_timeout(sent_at, reason)
             failure = Failure.IN_DOUBT if commits and sent else Failure.ROLLED_BACK
             raise StatementFailedError(failure, reason, self.endpoint) from error
         self.executor.selector.record_answer(target, sent_at, answer)
@@ -197,6 +204,7 @@
         left_s = max(request.expires_at - self.executor.clock(), 0.0)
         pooled = await pool.take(left_s)
         try:
+            sent_at = self.executor.clock()
             with anyio.fail_after(left_s):
                 await pooled.adopt(self.session.values)
                 self._check_still_primary(target)
@@ -207,7 +215,7 @@
                 raise ConnectError(answer.failure, f"BEGIN failed: {answer.reason}")
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {left_s:.3f} s"
-            pool.note_failure(reason)
+            pool.note_timeout(sent_at, reason)
             pool.give_back(pooled)
             raise ConnectError(Failure.BUSY, reason) from error
         except BaseException:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -120,6 +120,7 @@
         self.clock = clock
         self.acknowledged = LogPosition()
         self.everyone_answered = False
+        self.revision = 0
 
     async def run(self, reason: str) -> None:
         """Change the primary and publish the new one.
@@ -158,8 +159,7 @@
     async def _announce(self, reason: str) -> GroupRecord:
         """Set the record to changing, or take over a change that was begun."""
         known = self.leadership.records[self.group]
-        if not known.serving and known.holder == self.duty.holder:
-            return known
+        known_revision = self.leadership.revisions[self.group]
         record = GroupRecord(
             epoch=known.epoch + 1,
             primary=known.primary,
@@ -175,10 +175,8 @@
             reason=reason,
             token=self.duty.token,
         )
-        revision = await self.writer.write(
-            self.group, record, self.leadership.revisions[self.group]
-        )
-        self.leadership.observe(self.group, record, revision)
+        self.revision = await self.writer.write(self.group, record, known_revision)
+        self.leadership.observe(self.group, record, self.revision)
         return record
 
     async def _fence(self, record: GroupRecord, announced_at: float) -> None:
@@ -334,9 +332,7 @@
             serving=True,
             holder=self.duty.holder,
         )
-        revision = await self.writer.write(
-            self.group, serving, self.leadership.revisions[self.group]
-        )
+        revision = await self.writer.write(self.group, serving, self.revision)
         self.leadership.observe(self.group, serving, revision)
         others = [e for e in self._endpoints() if e != primary]
         await self._ask(others, self.control.release)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -12,9 +12,9 @@
 
 __all__ = ["DutyRecord", "FailoverDuty"]
 
-LEASE_S = 3.0
-RENEWAL_S = 1.0
-MARGIN_S = 0.5  # of the lease, left unused by the holder
+LEASE_S = 2.0
+RENEWAL_S = 0.6
+MARGIN_S = 0.4  # of the lease, left unused by the holder
 POLL_S = 0.25
 NEWCOMER_WAIT_S = 10.0
 
@@ -117,6 +117,7 @@
                     await self._take()
             except ConflictError:
                 log.info("duty taken by another proxy")
+                self.free_since = self.clock()
             except StoreError as error:
                 log.info("duty call unanswered", error=str(error))
             await anyio.sleep(pause_s)
@@ -163,13 +164,14 @@
         self.renewed_at = sent_at
 
     async def _take(self) -> None:
+        # The condition is what made the duty free, not what is known after the call.
+        free_revision = self.revision
         sent_at = self.clock()
-        self.lease_id = await self.store.grant_lease(LEASE_S)
+        lease_id = await self.store.grant_lease(LEASE_S)
         record = DutyRecord(self.holder, self.incarnation)
         value = msgspec.json.encode(record)
-        revision = await self.store.write(
-            self.key, value, self.revision, self.lease_id
-        )
+        revision = await self.store.write(self.key, value, free_revision, lease_id)
+        self.lease_id = lease_id
         self.token = revision
         self.renewed_at = sent_at
         self.observe(record, revision)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -25,7 +25,7 @@
 
 CHECK_INTERVAL_S = 0.25
 PROBE_AFTER_S = 0.4  # without an answer to a statement
-SUSPECT_AFTER_S = 1.0
+SUSPECT_AFTER_S = 0.8
 STALL_LIMIT_S = 0.7
 STALL_SUSPECT_S = 0.4  # age of a write without an answer
 STALL_CHECK_S = 0.25
@@ -74,7 +74,7 @@
         self.writer = writer
         self.new_change = new_change
         self.clock = clock
-        self.watched = ""
+        self.watched = 0
         self.watched_since = 0.0
         self.stalled_since: float | None = None
         self.stalled_at = LogPosition()
@@ -83,13 +83,12 @@
     async def run(self) -> None:
         """Check the primary at a fixed interval until cancelled."""
         while True:
+            self._track()
             if self.duty.is_held():
                 try:
                     await self.check()
                 except RosemarywardError as error:
                     log.warning("supervision failed", group=self.group, error=str(error))
-            else:
-                self.watched = ""
             await anyio.sleep(CHECK_INTERVAL_S)
 
     async def check(self) -> None:
@@ -101,7 +100,14 @@
         reason = await self._reason(record)
         if reason and self.duty.is_held():
             await self.new_change(self.group).run(reason)
-            self.watched = ""
+
+    def _track(self) -> None:
+        """Note since when the present primary leads."""
+        record = self.leadership.records.get(self.group)
+        if record is not None and record.epoch != self.watched:
+            self.watched = record.epoch
+            self.watched_since = self.clock()
+            self.stalled_since = None
 
     async def _adopt_first(self) -> None:
         """Record the primary of a group that has none yet."""
@@ -123,10 +129,6 @@
             return "primary gone"
         if endpoint.leaving:
             return "primary leaving"
-        if self.watched != record.primary:
-            self.watched = record.primary
-            self.watched_since = self.clock()
-            self.stalled_since = None
         if await self._is_silent(record.primary):
             return "primary silent"
         if await self._is_stalled(record.primary):
