--- a/Makefile
+++ b/Makefile
@@ -26,15 +26,15 @@
 test: lint types imports unit  ## Run formatter check, linter, type checks and tests.
 
 format: $(STAMP)
-	$(BIN)/ruff format packages
-	$(BIN)/ruff check --fix packages
+	$(BIN)/ruff format packages platform deploy
+	$(BIN)/ruff check --fix packages platform deploy
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check packages
-	$(BIN)/ruff check packages
+	$(BIN)/ruff format --check packages platform deploy
+	$(BIN)/ruff check packages platform deploy
 
 types: $(STAMP)
-	$(BIN)/mypy $(wildcard packages/*/src)
+	$(BIN)/mypy $(wildcard packages/*/src) platform/src
 
 imports: $(STAMP)
 	$(BIN)/lint-imports --no-cache
@@ -45,7 +45,7 @@
 seeds: $(STAMP)  ## Run every fault with 200 seeds instead of 20; takes minutes.
 	ROSEMARYWARD_ALL_SEEDS=1 $(BIN)/python -m pytest -n 4 -k test_no_false_promotion
 
-$(STAMP): pyproject.toml $(wildcard packages/*/pyproject.toml)
+$(STAMP): pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet "uv>=0.5"
 	UV_PROJECT_ENVIRONMENT=$(VENV) $(BIN)/uv sync --quiet --inexact
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -12,7 +12,7 @@
 __all__ = ["EndpointDirectory", "distance"]
 
 REGISTRATION_GRACE_S = 2.5  # entries that lapsed with the store are back within 2 s
-IDLE_LIMIT_S = 20.0
+IDLE_LIMIT_S = 3.0  # idle connections count towards the limit of all proxies
 
 SAME_DOMAIN = 0
 SAME_REGION = 1
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -0,0 +1,277 @@
+"""A replication group in memory, behind the gateway's connector interface."""
+
+import anyio
+
+from rosemaryward.decisions.gateway.connections import EndpointPool
+from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.gateway.environment import (
+    Endpoint,
+    Environment,
+    Group,
+    ReadPolicy,
+    Route,
+)
+from rosemaryward.decisions.gateway.execution import Executor
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectError,
+    ConnectionState,
+    Failure,
+    UnansweredError,
+)
+from rosemaryward.decisions.gateway.session import CallerSession
+from rosemaryward.decisions.gateway.statements import (
+    PreparedStatement,
+    Statement,
+    StatementKind,
+)
+from rosemaryward.decisions.gateway.targets import TargetSelector
+from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.types import LogPosition, Place
+
+GROUP = "orders"
+NEAR = Place("north", "a")
+FAR = Place("south", "b")
+IDLE = ConnectionState.IDLE
+
+
+class Clock:
+    """Boot time that a test moves."""
+
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class FakeInstance:
+    """Instance that records what it runs; faults are set as attributes."""
+
+    def __init__(self, name, leads=False):
+        self.name = name
+        self.leads = leads
+        self.position = LogPosition(1, 10)
+        self.ran = []
+        self.connections = []
+        self.refuse_connections = None
+        self.failures = []  # for the next statements; "lost" runs without an answer
+
+    def texts(self):
+        return [text for _, text in self.ran]
+
+
+class FakeConnection:
+    def __init__(self, instance):
+        self.instance = instance
+        self.values = {}
+        self.prepared = {}
+        self.state = IDLE
+        self.closed = False
+
+    async def execute(self, request_id, text, since=None):
+        instance = self.instance
+        await anyio.lowlevel.checkpoint()
+        if self.closed:
+            raise UnansweredError("closed")
+        word = text.split()[0]
+        if word in ("SET", "RESET", "PREPARE"):
+            return self._context(text)
+        if instance.failures:
+            failure = instance.failures.pop(0)
+            if failure == "lost":
+                instance.ran.append((request_id, text))
+                self.closed = True
+                raise UnansweredError("answer lost")
+            return Answer([], "", self.state, instance.position, failure, "told to")
+        if since is not None and since > instance.position:
+            return self._failed(Failure.BEHIND)
+        if word == "BEGIN":
+            if text == "BEGIN" and not instance.leads:
+                return self._failed(Failure.NOT_PRIMARY)
+            self.state = ConnectionState.TRANSACTION
+        elif word in ("COMMIT", "ROLLBACK"):
+            self.state = IDLE
+        writes = word == "WRITE" or (
+            word == "EXECUTE" and self.prepared[text.split()[1]][0] == "WRITE"
+        )
+        if writes and not instance.leads:
+            return self._failed(Failure.NOT_PRIMARY)
+        if (writes and self.state is IDLE) or word == "COMMIT":
+            old = instance.position
+            instance.position = LogPosition(old.term, old.index + 1)
+        instance.ran.append((request_id, text))
+        signature = f"signed-{len(instance.ran)}"
+        return Answer(["row"], signature, self.state, instance.position)
+
+    def _failed(self, failure):
+        return Answer([], "", self.state, self.instance.position, failure, "refused")
+
+    def _context(self, text):
+        word, _, rest = text.partition(" ")
+        if word == "RESET":
+            self.values, self.prepared = {}, {}
+        elif word == "SET":
+            name, value = rest.split(" ", 1)
+            self.values[name] = value
+        else:
+            name, access, shape = rest.split(" ")
+            self.prepared[name] = (access, shape)
+        return Answer([], "-", self.state, self.instance.position)
+
+
+class FakeConnector:
+    def __init__(self, instances):
+        self.instances = {instance.name: instance for instance in instances}
+        self.discarded = []
+
+    async def connect(self, endpoint):
+        instance = self.instances[endpoint.id]
+        if instance.refuse_connections is not None:
+            raise ConnectError(instance.refuse_connections, "refused")
+        connection = FakeConnection(instance)
+        instance.connections.append(connection)
+        return connection
+
+    def discard(self, connection):
+        connection.closed = True
+        self.discarded.append(connection)
+
+
+class Channel:
+    """Caller that sends statements one after the other and keeps the replies."""
+
+    def __init__(self, statements):
+        self.statements = list(statements)
+        self.replies = []
+
+    async def receive(self):
+        await anyio.lowlevel.checkpoint()
+        return self.statements.pop(0) if self.statements else None
+
+    async def send(self, statement, reply):
+        self.replies.append(reply)
+
+
+class Observer:
+    def __init__(self):
+        self.attempts = []
+        self.answers = []
+
+    def attempt_failed(self, statement, route, endpoint, reason):
+        self.attempts.append((endpoint, reason))
+
+    def answered(self, statement, route, endpoint, reply, took_s):
+        self.answers.append((endpoint, reply))
+
+
+def make_route(policy, max_staleness_s=1.5, timeout_s=0.5):
+    return Route(
+        database="db",
+        group=GROUP,
+        policy=policy,
+        timeout_s=timeout_s,
+        target_latency_s=0.2,
+        rank=1,
+        max_staleness_s=max_staleness_s,
+    )
+
+
+class Fleet:
+    """One proxy before a primary and two replicas."""
+
+    def __init__(self, policy=ReadPolicy.PRIMARY, clock=None, **route):
+        self.primary = FakeInstance("i-1", leads=True)
+        self.near = FakeInstance("i-2")
+        self.far = FakeInstance("i-3")
+        self.clock = clock or Clock()
+        self.connector = FakeConnector([self.primary, self.near, self.far])
+        self.directory = EndpointDirectory(self.connector, self.clock)
+        for instance, place in ((self.primary, FAR), (self.near, NEAR), (self.far, FAR)):
+            self.directory.observe(make_endpoint(instance.name, place))
+        self.leadership = Leadership(self.clock)
+        self.leadership.observe(GROUP, make_record(), 1)
+        self.leadership.confirm(self.clock())
+        self.selector = TargetSelector(
+            self.directory, self.leadership, NEAR, self.clock
+        )
+        self.observer = Observer()
+        self.executor = Executor(
+            self.selector, self.observer.attempt_failed, self.clock
+        )
+        self.route = make_route(policy, **route)
+        self.environment = Environment(
+            version=1,
+            routes={"db": self.route},
+            groups={GROUP: Group(name=GROUP, max_connections=30, sync_replicas=1)},
+            transaction_idle_s=3.0,
+        )
+
+    def sample_primary(self, age_s=0.0, position=None):
+        """Let the selector know the primary's position as of some time ago."""
+        samples = self.selector.group_samples(GROUP)
+        samples.record(self.clock() - age_s, position or self.primary.position)
+
+    def session(self, *texts):
+        channel = Channel([parse(text, n) for n, text in enumerate(texts)])
+        session = CallerSession(
+            channel,
+            "db",
+            "caller",
+            self.executor,
+            lambda: self.environment,
+            self.observer,
+            self.clock,
+        )
+        return channel, session
+
+    async def serve(self, *texts):
+        """Run statements in one session and return the replies."""
+        channel, session = self.session(*texts)
+        await session.run()
+        return channel.replies
+
+    def pool(self, instance) -> EndpointPool:
+        return self.directory.pools[instance.name]
+
+
+def make_endpoint(name, place=NEAR, **changes):
+    values = {
+        "id": name,
+        "group": GROUP,
+        "address": f"10.0.0.{name[-1]}:1",
+        "place": place,
+        "slots": 5,
+        "leaving": False,
+        "claims_primary": name == "i-1",
+    }
+    return Endpoint(**(values | changes))
+
+
+def make_record(epoch=1, primary="i-1", serving=True, holder="proxy-1"):
+    return GroupRecord(epoch=epoch, primary=primary, serving=serving, holder=holder)
+
+
+def parse(text, number=0):
+    """Return the statement of a short text form."""
+    words = text.split()
+    request_id = f"r{number}"
+    kinds = {
+        "BEGIN": StatementKind.BEGIN,
+        "BEGIN READ": StatementKind.BEGIN_READ,
+        "COMMIT": StatementKind.COMMIT,
+        "ROLLBACK": StatementKind.ROLLBACK,
+    }
+    if text in kinds:
+        return Statement(request_id, kinds[text], text)
+    if words[0] == "SET":
+        return Statement(request_id, StatementKind.SET_VALUE, text, words[1], words[2])
+    if words[0] == "PREPARE":
+        prepared = PreparedStatement(words[2] == "WRITE", words[3])
+        return Statement(
+            request_id, StatementKind.PREPARE, text, words[1], prepared=prepared
+        )
+    if words[0] == "EXECUTE":
+        argument = " ".join(words[2:])
+        return Statement(request_id, StatementKind.EXECUTE, text, words[1], argument)
+    return Statement(request_id, StatementKind[words[0]], text)
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -0,0 +1,149 @@
+import pytest
+
+from rosemaryward.decisions.freshness import PositionSamples
+from rosemaryward.decisions.gateway.environment import ReadPolicy
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectError,
+    ConnectionState,
+    Failure,
+)
+from rosemaryward.decisions.gateway.tests.fakes import (
+    GROUP,
+    NEAR,
+    Fleet,
+    make_endpoint,
+    make_record,
+)
+from rosemaryward.decisions.types import LogPosition
+
+NONE = LogPosition()
+BOUNDED = ReadPolicy.BOUNDED_STALENESS
+OWN = ReadPolicy.READ_YOUR_WRITES
+
+
+@pytest.mark.parametrize(
+    ("policy", "sample_age_s", "session", "expected", "since"),
+    [
+        pytest.param(ReadPolicy.PRIMARY, 0.0, NONE, "i-1", None, id="primary-route"),
+        pytest.param(BOUNDED, 0.5, NONE, "i-2", (1, 10), id="young-sample"),
+        pytest.param(BOUNDED, 1.49, NONE, "i-1", None, id="sample-within-margin"),
+        pytest.param(BOUNDED, 2.0, NONE, "i-1", None, id="sample-too-old"),
+        pytest.param(OWN, 0.5, NONE, "i-2", (1, 10), id="nothing-written"),
+        pytest.param(OWN, 0.5, LogPosition(1, 12), "i-2", (1, 12), id="own-write"),
+        pytest.param(OWN, 2.0, LogPosition(1, 12), "i-1", None, id="own-write-old"),
+    ],
+)
+def test_read_target(policy, sample_age_s, session, expected, since):
+    """Guards against reads that are older than the route allows."""
+    fleet = Fleet(policy)
+    fleet.sample_primary(sample_age_s)
+    target = fleet.selector.read(fleet.route, fleet.clock(), session, set())
+    assert target.pool.endpoint.id == expected
+    assert target.since == (None if since is None else LogPosition(*since))
+
+
+def test_session_position_of_an_old_term_is_replaced():
+    """Guards against waiting for a position that a promotion discarded."""
+    fleet = Fleet(OWN)
+    fleet.sample_primary(0.3)
+    fleet.sample_primary(0.0, LogPosition(2, 8))
+    target = fleet.selector.read(
+        fleet.route, fleet.clock(), LogPosition(1, 12), set()
+    )
+    assert target.since == LogPosition(2, 8)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        pytest.param({"leaving": True}, id="leaving"),
+        pytest.param({"missing": True}, id="registration-removed"),
+        pytest.param({"suspect": True}, id="silent"),
+    ],
+)
+def test_replica_that_must_not_be_used(change):
+    """Guards against work for an endpoint that leaves or does not answer."""
+    fleet = Fleet(BOUNDED)
+    fleet.sample_primary()
+    if "leaving" in change:
+        fleet.directory.observe(make_endpoint("i-2", NEAR, leaving=True))
+    elif "missing" in change:
+        fleet.directory.lose("i-2")
+    else:
+        fleet.pool(fleet.near).note_failure("test")
+    target = fleet.selector.read(fleet.route, fleet.clock(), NONE, set())
+    assert target.pool.endpoint.id != "i-2"
+
+
+def test_samples_of_a_replaced_primary_are_not_recorded():
+    """Guards against trusting the position of an old primary that still answers."""
+    samples = PositionSamples()
+    samples.record(10.0, LogPosition(2, 5))
+    samples.record(11.0, LogPosition(1, 90))
+    assert samples.required(10.5) is None
+
+
+def test_samples_give_the_oldest_position_that_is_young_enough():
+    """Guards against asking a replica for more than the bound needs."""
+    samples = PositionSamples()
+    for second in range(5):
+        samples.record(float(second), LogPosition(1, second))
+    assert samples.required(2.5) == LogPosition(1, 3)
+
+
+def test_one_lost_answer_does_not_make_an_endpoint_suspect():
+    """Guards against avoiding a primary that answers everything else."""
+    fleet = Fleet()
+    pool = fleet.pool(fleet.primary)
+    sent_at = fleet.clock()
+    fleet.clock.now += 0.1
+    pool.note_answer(Answer([], "s", ConnectionState.IDLE, LogPosition(1, 1)))
+    fleet.clock.now += 0.5
+    pool.note_timeout(sent_at, "lost")
+    assert not pool.suspect
+
+
+def test_many_failures_keep_the_pause_bounded():
+    """Guards against an overflow after a thousand failed connections."""
+    fleet = Fleet()
+    pool = fleet.pool(fleet.primary)
+    for _ in range(2000):
+        pool.note_failure("refused")
+    assert pool.avoid_until <= fleet.clock() + 4.0
+
+
+async def test_connection_limit_does_not_make_an_endpoint_suspect():
+    """Guards against replacing a primary because it accepts no more connections."""
+    fleet = Fleet()
+    fleet.primary.refuse_connections = Failure.CONNECTION_LIMIT
+    pool = fleet.pool(fleet.primary)
+    with pytest.raises(ConnectError) as caught:
+        await pool.take(0.0)
+    assert caught.value.failure is Failure.CONNECTION_LIMIT
+    assert not pool.suspect
+    assert pool.answered_at == fleet.clock()
+
+
+def test_endpoint_whose_entry_returns_is_kept():
+    """Guards against dropping endpoints whose entries lapse with the store."""
+    fleet = Fleet()
+    pool = fleet.pool(fleet.near)
+    fleet.directory.lose("i-2")
+    fleet.clock.now += 2.0
+    fleet.directory.sweep()
+    fleet.directory.observe(make_endpoint("i-2", NEAR))
+    assert fleet.directory.pools["i-2"] is pool
+    fleet.directory.lose("i-2")
+    fleet.clock.now += 3.0
+    fleet.directory.sweep()
+    assert "i-2" not in fleet.directory.endpoints
+
+
+def test_fenced_primary_is_not_used_before_the_new_record():
+    """Guards against the old primary between the fence and the new record."""
+    fleet = Fleet()
+    fleet.leadership.fence(GROUP, 2)
+    assert fleet.selector.primary(GROUP) is None
+    fleet.leadership.observe(GROUP, make_record(2, "i-2"), 5)
+    assert fleet.selector.primary(GROUP).pool.endpoint.id == "i-2"
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -0,0 +1,195 @@
+"""Store, endpoints and members in memory for tests of leadership."""
+
+import anyio
+
+from rosemaryward.decisions.errors import ConflictError, EndpointError, PeerError
+from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.gateway.tests.fakes import (
+    FAR,
+    GROUP,
+    FakeConnector,
+    FakeInstance,
+    make_endpoint,
+    make_record,
+)
+from rosemaryward.decisions.leadership.change import PrimaryChange
+from rosemaryward.decisions.leadership.confirmation import Confirmation
+from rosemaryward.decisions.leadership.control import EndpointStatus
+from rosemaryward.decisions.leadership.members import (
+    FenceReply,
+    MemberDirectory,
+    MemberRecord,
+)
+from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.mirror import LeaseLostError
+from rosemaryward.decisions.types import LogPosition
+
+
+class MemoryStore:
+    """Conditional writes and leases; `before_write` runs ahead of each write."""
+
+    def __init__(self):
+        self.values = {}
+        self.revision = 10
+        self.leases = 0
+        self.ended = set()
+        self.before_write = None
+
+    async def write(self, key, value, expected, lease_id=0):
+        await anyio.lowlevel.checkpoint()
+        if self.before_write is not None:
+            self.before_write()
+        if self.values.get(key, (None, 0))[1] != expected:
+            raise ConflictError(key)
+        self.revision += 1
+        self.values[key] = (value, self.revision)
+        return self.revision
+
+    async def grant_lease(self, ttl_s):
+        await anyio.lowlevel.checkpoint()
+        self.leases += 1
+        return self.leases
+
+    async def renew_lease(self, lease_id):
+        if lease_id in self.ended:
+            raise LeaseLostError(str(lease_id))
+
+
+class Duty:
+    """Duty that is held until a test takes it away."""
+
+    def __init__(self):
+        self.holder = "proxy-1"
+        self.token = 7
+        self.held = True
+
+    def is_held(self):
+        return self.held
+
+
+class Control:
+    """Statuses of endpoints; those without one are silent."""
+
+    def __init__(self, statuses):
+        self.statuses = statuses
+        self.calls = []
+
+    async def _call(self, word, endpoint_id):
+        await anyio.lowlevel.checkpoint()
+        self.calls.append((word, endpoint_id))
+        if endpoint_id not in self.statuses:
+            raise EndpointError(f"{endpoint_id} is silent")
+        return self.statuses[endpoint_id]
+
+    async def status(self, endpoint_id):
+        return await self._call("status", endpoint_id)
+
+    async def hold(self, endpoint_id, term):
+        return await self._call("hold", endpoint_id)
+
+    async def release(self, endpoint_id):
+        return await self._call("release", endpoint_id)
+
+    async def demote(self, endpoint_id, term):
+        return await self._call("demote", endpoint_id)
+
+
+class Promoter:
+    def __init__(self, control):
+        self.control = control
+        self.calls = []
+
+    async def promote(self, group, endpoint_id, holder, token):
+        self.calls.append((endpoint_id, holder, token))
+        self.control.statuses[endpoint_id] = status(2, 0, leads=True)
+        return True
+
+
+class Peers:
+    """Members that answer, by name; others are unreachable."""
+
+    def __init__(self):
+        self.fenced = {}
+        self.confirmations = {}
+
+    async def fence(self, member, request):
+        await anyio.lowlevel.checkpoint()
+        if member.name not in self.fenced:
+            raise PeerError(f"{member.name} is unreachable")
+        return FenceReply(member.incarnation, self.fenced[member.name])
+
+    async def confirmation(self, member, request):
+        await anyio.lowlevel.checkpoint()
+        if member.name not in self.confirmations:
+            raise PeerError(f"{member.name} is unreachable")
+        return self.confirmations[member.name]
+
+
+class Writer:
+    def __init__(self):
+        self.records = []
+        self.revision = 1
+
+    async def write(self, group, record, expected):
+        if expected != self.revision:
+            raise ConflictError(f"{expected} is not {self.revision}")
+        self.revision += 1
+        self.records.append(record)
+        return self.revision
+
+
+def status(term, index, leads=False):
+    return EndpointStatus(
+        leads=leads,
+        term=term,
+        received=LogPosition(term, index),
+        held_term=0,
+        lag_s=0.0,
+        connections=1,
+    )
+
+
+def member(name, incarnation=None, expelled=False):
+    return MemberRecord(name, "10.0.0.1:1", incarnation or f"inc-{name}", expelled)
+
+
+class Change:
+    """A change of primary of one group with three endpoints and two members."""
+
+    def __init__(self, statuses):
+        instances = [FakeInstance(f"i-{n}") for n in (1, 2, 3)]
+        self.directory = EndpointDirectory(FakeConnector(instances))
+        for instance in instances:
+            self.directory.observe(make_endpoint(instance.name, FAR))
+        self.leadership = Leadership()
+        self.leadership.observe(GROUP, make_record(), 1)
+        self.members = MemberDirectory()
+        self.members.observe(member("proxy-1"), 1)
+        self.members.observe(member("proxy-2"), 2)
+        self.peers = Peers()
+        self.peers.fenced = {"proxy-1": LogPosition(1, 5), "proxy-2": LogPosition(1, 5)}
+        self.control = Control(statuses)
+        self.promoter = Promoter(self.control)
+        self.writer = Writer()
+        self.duty = Duty()
+        self.confirmation = Confirmation("inc-proxy-1", self.leadership, self.peers)
+
+    async def run(self, reason="test"):
+        change = PrimaryChange(
+            GROUP,
+            self.duty,
+            self.directory,
+            self.leadership,
+            self.members,
+            self.peers,
+            self.control,
+            self.promoter,
+            self.writer,
+            self.confirmation,
+            self._refresh,
+        )
+        await change.run(reason)
+        return change
+
+    async def _refresh(self):
+        await anyio.lowlevel.checkpoint()
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -0,0 +1,143 @@
+import anyio
+import pytest
+
+from rosemaryward.decisions.gateway.tests.fakes import FAR, GROUP, make_endpoint
+from rosemaryward.decisions.leadership import change as change_module
+from rosemaryward.decisions.leadership.change import ChangeAbandonedError
+from rosemaryward.decisions.leadership.tests.fakes import Change, member, status
+from rosemaryward.decisions.types import LogPosition
+
+
+@pytest.fixture(autouse=True)
+def _short_times(monkeypatch):
+    monkeypatch.setattr(change_module, "CONFIRMATION_S", 0.3)
+    monkeypatch.setattr(change_module, "CONFIRMATION_MARGIN_S", 0.0)
+    monkeypatch.setattr(change_module, "FENCE_RETRY_S", 0.02)
+    monkeypatch.setattr(change_module, "POSITION_RETRY_S", 0.02)
+    monkeypatch.setattr(change_module, "CATCH_UP_S", 0.05)
+
+
+@pytest.mark.parametrize(
+    ("statuses", "expected"),
+    [
+        pytest.param({"i-2": status(1, 6), "i-3": status(1, 4)}, "i-2", id="longest"),
+        pytest.param({"i-2": status(1, 4), "i-3": status(1, 6)}, "i-3", id="other"),
+        pytest.param({"i-2": status(1, 5)}, "i-2", id="one-silent-but-complete"),
+    ],
+)
+async def test_replica_with_all_acknowledged_commits_is_promoted(statuses, expected):
+    """Guards against losing a commit that only one replica has received."""
+    run = Change(statuses)
+    await run.run()
+    assert run.promoter.calls == [(expected, "proxy-1", 7)]
+    assert [r.serving for r in run.writer.records] == [False, True]
+    assert run.leadership.records[GROUP].primary == expected
+
+
+async def test_incomplete_replica_is_not_promoted_while_another_is_silent():
+    """Guards against promoting a replica that lacks an acknowledged commit."""
+    run = Change({"i-2": status(1, 4)})
+    with pytest.raises(ChangeAbandonedError):
+        await run.run()
+    assert not run.promoter.calls
+
+
+async def test_unreachable_member_is_given_time_to_lose_its_confirmation():
+    """Guards against a promotion while a cut off member reads at the old primary."""
+    run = Change({"i-2": status(1, 5), "i-3": status(1, 5)})
+    del run.peers.fenced["proxy-2"]
+    started_at = anyio.current_time()
+    await run.run()
+    assert anyio.current_time() - started_at >= 0.3
+
+
+async def test_unfenced_member_may_know_more_so_every_replica_must_answer():
+    """Guards against trusting acknowledged positions of only some members."""
+    run = Change({"i-2": status(1, 5)})
+    del run.peers.fenced["proxy-2"]
+    with pytest.raises(ChangeAbandonedError):
+        await run.run()
+
+
+async def test_leaving_replica_is_not_promoted():
+    """Guards against a primary that is about to stop."""
+    run = Change({"i-2": status(1, 6), "i-3": status(1, 6)})
+    run.directory.observe(make_endpoint("i-2", FAR, leaving=True))
+    await run.run()
+    assert run.promoter.calls[0][0] == "i-3"
+
+
+async def test_replicas_are_held_when_the_old_primary_is_silent():
+    """Guards against commits that are acknowledged after positions were read."""
+    run = Change({"i-2": status(1, 5), "i-3": status(1, 5)})
+    await run.run()
+    words = [word for word, _ in run.control.calls]
+    assert "hold" in words
+    assert words.index("hold") > words.index("demote")
+
+
+async def test_reachable_old_primary_is_demoted_and_replicas_keep_receiving():
+    """Guards against losing entries that were on their way to the replicas."""
+    statuses = {"i-1": status(1, 6), "i-2": status(1, 4), "i-3": status(1, 4)}
+    run = Change(statuses)
+
+    async def catch_up():
+        await anyio.sleep(0.01)
+        statuses["i-2"] = status(1, 6)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(catch_up)
+        await run.run()
+    assert run.promoter.calls[0][0] == "i-2"
+    assert ("hold", "i-2") not in run.control.calls
+
+
+async def test_unfinished_change_adopts_an_endpoint_that_already_leads():
+    """Guards against a second promotion after the holder was killed halfway."""
+    run = Change({"i-2": status(1, 5), "i-3": status(2, 5, leads=True)})
+    await run.run("unfinished change")
+    assert not run.promoter.calls
+    assert run.leadership.records[GROUP].primary == "i-3"
+
+
+async def test_lost_duty_ends_the_change():
+    """Guards against a promotion by a holder that was replaced."""
+    run = Change({"i-2": status(1, 5), "i-3": status(1, 5)})
+    run.duty.held = False
+    with pytest.raises(ChangeAbandonedError):
+        await run.run()
+    assert not run.promoter.calls
+    assert not run.writer.records
+
+
+async def test_record_changed_by_another_holder_is_not_overwritten():
+    """Guards against publishing a primary over the record of a later change."""
+    run = Change({"i-2": status(1, 5), "i-3": status(1, 5)})
+    promote = run.promoter.promote
+
+    async def promote_and_interfere(*arguments):
+        run.writer.revision += 1
+        return await promote(*arguments)
+
+    run.promoter.promote = promote_and_interfere
+    with pytest.raises(change_module.RosemarywardError):
+        await run.run()
+    assert [r.serving for r in run.writer.records] == [False]
+
+
+async def test_fence_covers_a_member_that_restarted():
+    """Guards against waiting for a process that no longer exists."""
+    run = Change({"i-2": status(1, 5), "i-3": status(1, 5)})
+    run.members.observe(member("proxy-2", "inc-new"), 3)
+    await run.run()
+    assert run.promoter.calls
+
+
+async def test_fence_drains_running_writes():
+    """Guards against an acknowledged position that misses a running write."""
+    run = Change({})
+    leadership = run.leadership
+    with leadership.write(GROUP):
+        position = await leadership.fence_and_drain(GROUP, 2)
+    assert position == LogPosition()
+    assert not leadership.acknowledge(GROUP, 1, LogPosition(1, 9))
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
@@ -0,0 +1,94 @@
+import pytest
+
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, Clock, make_record
+from rosemaryward.decisions.leadership.confirmation import OUTAGE_LIMIT_S, Confirmation
+from rosemaryward.decisions.leadership.members import (
+    ConfirmationReply,
+    ConfirmationRequest,
+    MemberDirectory,
+)
+from rosemaryward.decisions.leadership.records import CONFIRMATION_S, Leadership
+from rosemaryward.decisions.leadership.tests.fakes import Peers, member
+
+SELF = "inc-proxy-1"
+
+
+def make(clock):
+    leadership = Leadership(clock)
+    confirmation = Confirmation(SELF, leadership, Peers(), clock)
+    names = ("proxy-1", "proxy-2", "proxy-3")
+    confirmation.note_read(clock(), [member(name) for name in names])
+    return confirmation
+
+
+def reply(age_s=60.0, registered=True, changing=False, records=None):
+    return ConfirmationReply(age_s, registered, changing, records or {})
+
+
+@pytest.mark.parametrize(
+    ("two", "three", "confirmed"),
+    [
+        pytest.param(reply(0.5), None, True, id="relayed-by-one"),
+        pytest.param(reply(0.5, registered=False), None, False, id="not-registered"),
+        pytest.param(reply(), reply(), True, id="outage-for-all"),
+        pytest.param(reply(), None, False, id="one-unreachable"),
+        pytest.param(reply(), reply(changing=True), False, id="one-is-changing"),
+    ],
+)
+async def test_confirmation_without_the_store(two, three, confirmed):
+    """Guards against using a primary that an unseen change may have replaced."""
+    clock = Clock()
+    confirmation = make(clock)
+    clock.now += CONFIRMATION_S + 1.0
+    answers = {"proxy-2": two, "proxy-3": three}
+    confirmation.peers.confirmations = {n: a for n, a in answers.items() if a}
+    await confirmation.ask_members()
+    assert confirmation.leadership.is_confirmed() is confirmed
+
+
+async def test_outage_is_bridged_for_a_bounded_time():
+    """Guards against an unknown newcomer that gains the duty in a long outage."""
+    clock = Clock()
+    confirmation = make(clock)
+    confirmation.peers.confirmations = {"proxy-2": reply(), "proxy-3": reply()}
+    clock.now += OUTAGE_LIMIT_S + 1.0
+    assert await confirmation.ask_members() == ""
+
+
+async def test_relayed_records_are_taken_over():
+    """Guards against confirming an old record with a newer member's answer."""
+    clock = Clock()
+    confirmation = make(clock)
+    newer = {GROUP: (make_record(3, "i-2", serving=False), 40)}
+    confirmation.peers.confirmations = {"proxy-2": reply(0.1, records=newer)}
+    await confirmation.ask_members()
+    assert confirmation.leadership.primary(GROUP) is None
+    assert confirmation.leadership.records[GROUP].epoch == 3
+
+
+def test_read_that_does_not_list_this_process_confirms_nothing():
+    """Guards against relying on the store after this proxy was expelled."""
+    clock = Clock()
+    leadership = Leadership(clock)
+    confirmation = Confirmation(SELF, leadership, Peers(), clock)
+    confirmation.note_read(clock(), [member("proxy-1", expelled=True)])
+    assert not leadership.is_confirmed()
+    confirmation.note_read(clock(), [member("proxy-1", "inc-before")])
+    assert not leadership.is_confirmed()
+
+
+def test_reply_tells_whether_the_asking_process_is_registered():
+    """Guards against relaying a confirmation to an expelled member."""
+    confirmation = make(Clock())
+    assert confirmation.reply(ConfirmationRequest("inc-proxy-2")).registered
+    assert not confirmation.reply(ConfirmationRequest("inc-unknown")).registered
+
+
+def test_expelled_member_counts_until_its_confirmation_lapsed():
+    """Guards against skipping the fence of a member that was just expelled."""
+    clock = Clock()
+    members = MemberDirectory(clock)
+    members.observe(member("proxy-2", expelled=True), 5)
+    assert members.may_use_primaries()
+    clock.now += CONFIRMATION_S + 1.0
+    assert not members.may_use_primaries()
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
@@ -0,0 +1,108 @@
+import msgspec
+
+from rosemaryward.decisions.gateway.tests.fakes import Clock
+from rosemaryward.decisions.leadership import duty as duty_module
+from rosemaryward.decisions.leadership.duty import DutyRecord, FailoverDuty
+from rosemaryward.decisions.leadership.tests.fakes import MemoryStore
+
+KEY = "duty"
+
+
+def make_duty(store, clock, name="proxy-1", first_start=True):
+    return FailoverDuty(store, KEY, name, f"inc-{name}", 0.0, first_start, clock)
+
+
+async def step(duty):
+    """Run one round of the duty's loop."""
+    if duty._is_mine():
+        await duty._renew()
+    elif duty._is_free():
+        await duty._take()
+
+
+async def test_free_duty_is_taken_after_the_longest_lease():
+    """Guards against two holders after a lease was taken back early."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock)
+    await step(duty)
+    assert not duty.is_held()
+    clock.now += duty_module.LEASE_S + 0.1
+    await step(duty)
+    assert duty.is_held()
+    assert duty.token == store.revision
+
+
+async def test_holder_stops_by_itself_when_it_cannot_renew():
+    """Guards against a frozen holder that acts after its lease ended."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock)
+    clock.now += 10.0
+    await step(duty)
+    clock.now += duty_module.LEASE_S
+    assert not duty.is_held()
+
+
+async def test_duty_taken_during_the_lease_call_is_not_overwritten():
+    """Guards against replacing a holder that became known while taking the duty."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock)
+    clock.now += 10.0
+    other = DutyRecord("proxy-2", "inc-proxy-2")
+    grant = store.grant_lease
+
+    async def grant_while_another_takes(ttl_s):
+        store.revision += 1
+        store.values[KEY] = (msgspec.json.encode(other), store.revision)
+        duty.observe(other, store.revision)
+        return await grant(ttl_s)
+
+    store.grant_lease = grant_while_another_takes
+    try:
+        await step(duty)
+    except duty_module.ConflictError:
+        pass
+    assert msgspec.json.decode(store.values[KEY][0], type=DutyRecord) == other
+    assert not duty.is_held()
+
+
+async def test_lost_lease_ends_the_duty():
+    """Guards against a holder whose key the platform has removed."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock)
+    clock.now += 10.0
+    await step(duty)
+    store.ended.add(duty.lease_id)
+    await step(duty)
+    assert not duty.is_held()
+
+
+async def test_restarted_holder_takes_its_duty_at_once():
+    """Guards against a gap after the holder's process was killed."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock, first_start=False)
+    store.revision = 31
+    store.values[KEY] = (b"", 31)
+    duty.observe(DutyRecord("proxy-1", "inc-before"), 31)
+    await step(duty)
+    assert duty.is_held()
+    assert duty.token > 31
+
+
+async def test_newcomer_leaves_the_duty_to_members_that_were_there():
+    """Guards against a change by a proxy that members cut off do not know."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock, name="proxy-9", first_start=False)
+    clock.now += duty_module.NEWCOMER_WAIT_S - 1.0
+    await step(duty)
+    assert not duty.is_held()
+
+
+async def test_duty_that_was_given_back_is_taken_at_once():
+    """Guards against a gap in the duty at every planned restart."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock, name="proxy-2")
+    store.revision = 12
+    store.values[KEY] = (b"", 12)
+    duty.observe(DutyRecord("", "inc-proxy-1"), 12)
+    await step(duty)
+    assert duty.is_held()
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -0,0 +1,152 @@
+import anyio
+
+from rosemaryward.decisions.errors import StoreError
+from rosemaryward.decisions.mirror import (
+    Changes,
+    HistoryLostError,
+    Listing,
+    StoredValue,
+    StoreMirror,
+)
+
+
+class Subscriber:
+    def __init__(self):
+        self.values = {}
+        self.history = []
+
+    def written(self, stored):
+        self.values[stored.key] = stored.value
+        self.history.append((stored.key, stored.revision))
+
+    def removed(self, key):
+        self.values.pop(key, None)
+        self.history.append((key, None))
+
+
+class Store:
+    """Store whose watches can be silent or lose their history."""
+
+    def __init__(self):
+        self.values = {}
+        self.revision = 10
+        self.events = []
+        self.changed = anyio.Event()
+        self.silent = False
+        self.history_from = 0
+        self.down = False
+
+    def put(self, key, value):
+        self.revision += 1
+        stored = StoredValue(key, value, self.revision)
+        self.values[key] = stored
+        self._notify(([stored], []))
+
+    def drop(self, key):
+        self.revision += 1
+        del self.values[key]
+        self._notify(([], [(key, self.revision)]))
+
+    def _notify(self, event):
+        self.events.append((self.revision, event))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    async def list(self, prefix):
+        await anyio.lowlevel.checkpoint()
+        if self.down:
+            raise StoreError("down")
+        found = [v for k, v in self.values.items() if k.startswith(prefix)]
+        return Listing(found, self.revision)
+
+    async def watch(self, prefix, after, wait_s):
+        while True:
+            if self.down:
+                raise StoreError("down")
+            if after < self.history_from:
+                raise HistoryLostError(str(after))
+            new = [event for revision, event in self.events if revision > after]
+            if new and not self.silent:
+                written = [stored for event in new for stored in event[0]]
+                removed = [gone for event in new for gone in event[1]]
+                return Changes(written, removed, self.revision)
+            await self.changed.wait()
+
+
+async def follow(store, check):
+    """Run a mirror until a condition holds; return its subscriber."""
+    subscriber = Subscriber()
+    mirror = StoreMirror(store, {"": subscriber}, "c/", lambda sent_at, listing: None)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await check(mirror, subscriber)
+        tasks.cancel_scope.cancel()
+    return subscriber
+
+
+async def until(condition):
+    with anyio.fail_after(5.0):
+        while not condition():
+            await anyio.sleep(0.01)
+
+
+async def test_changes_and_removals_arrive():
+    """Guards against a mirror that misses a removal."""
+    store = Store()
+    store.put("c/a", b"1")
+
+    async def check(mirror, subscriber):
+        await until(lambda: subscriber.values == {"c/a": b"1"})
+        store.put("d/b", b"2")
+        await until(lambda: "d/b" in subscriber.values)
+        store.drop("c/a")
+        await until(lambda: subscriber.values == {"d/b": b"2"})
+
+    await follow(store, check)
+
+
+async def test_silent_watch_is_noticed():
+    """Guards against an old configuration behind a watch that hears nothing."""
+    store = Store()
+    store.put("c/a", b"1")
+
+    async def check(mirror, subscriber):
+        await until(lambda: "c/a" in subscriber.values)
+        store.silent = True
+        store.put("d/b", b"2")
+        await until(lambda: "d/b" in subscriber.values)
+
+    await follow(store, check)
+
+
+async def test_lost_history_is_read_again_with_removals():
+    """Guards against keys that were removed while the history was lost."""
+    store = Store()
+    store.put("d/a", b"1")
+    store.put("d/b", b"2")
+
+    async def check(mirror, subscriber):
+        await until(lambda: len(subscriber.values) == 2)
+        store.silent = True
+        store.drop("d/a")
+        store.history_from = store.revision + 1
+        store.silent = False
+        store.revision += 1
+        store.changed.set()
+        store.changed = anyio.Event()
+        await until(lambda: subscriber.values == {"d/b": b"2"})
+
+    await follow(store, check)
+
+
+def test_older_answers_do_not_undo_newer_ones():
+    """Guards against a range that overtakes a watch and brings back old values."""
+    subscriber = Subscriber()
+    mirror = StoreMirror(Store(), {"": subscriber}, "c/", lambda *_: None)
+    mirror._apply(Changes([StoredValue("k", b"new", 20)], [], 20))
+    mirror._apply(Changes([StoredValue("k", b"old", 15)], [], 15))
+    assert subscriber.values == {"k": b"new"}
+    assert mirror.revision == 20
+    mirror._apply(Changes([], [("k", 25)], 25))
+    mirror._apply(Changes([StoredValue("k", b"new", 20)], [], 20))
+    assert subscriber.values == {}
