--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -121,16 +121,24 @@
         self.acknowledged = LogPosition()
         self.everyone_answered = False
         self.revision = 0
+        self.old_primary_silent = False
 
-    async def run(self, reason: str) -> None:
+    async def run(self, reason: str, old_primary_silent: bool = False) -> None:
         """Change the primary and publish the new one.
 
+        Parameters
+        ----------
+        reason : str
+        old_primary_silent : bool
+            Whether to wait for no answer of the old primary.
+
         Raises
         ------
         ChangeAbandonedError
             If the duty is lost or no replica can be promoted safely.
         StoreError
         """
+        self.old_primary_silent = old_primary_silent
         self.confirmation.changing += 1
         try:
             await self._run(reason)
@@ -249,9 +257,17 @@
         survey = await self._ask(others, self.control.status)
         newest = max((self._newest_term(s) for s in survey.replicas.values()), default=0)
         term = newest + 1
+        if self.old_primary_silent:
+            # Without replicas that receive, it confirms nothing, reachable or not.
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._demote, record.primary, term)
+                survey = await self._hold(others, term)
+                tasks.cancel_scope.cancel()
+            return survey
         demoted = await self._demote(record.primary, term)
         if demoted is None:
-            return await self._ask(others, lambda e: self.control.hold(e, term))
+            self.old_primary_silent = True
+            return await self._hold(others, term)
         give_up_at = self.clock() + CATCH_UP_S
         while self.clock() < give_up_at:
             best = max((s.received for s in survey.replicas.values()), default=None)
@@ -261,6 +277,9 @@
             survey = await self._ask(others, self.control.status)
         return survey
 
+    async def _hold(self, endpoint_ids: list[str], term: int) -> _Survey:
+        return await self._ask(endpoint_ids, lambda e: self.control.hold(e, term))
+
     async def _demote(self, endpoint_id: str, term: int) -> EndpointStatus | None:
         if endpoint_id not in self.directory.endpoints:
             return None
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -30,6 +30,8 @@
 STALL_SUSPECT_S = 0.4  # age of a write without an answer
 STALL_CHECK_S = 0.25
 
+SILENT = "primary silent"
+
 log = structlog.get_logger(__name__)
 
 
@@ -99,7 +101,7 @@
             return
         reason = await self._reason(record)
         if reason and self.duty.is_held():
-            await self.new_change(self.group).run(reason)
+            await self.new_change(self.group).run(reason, reason == SILENT)
 
     def _track(self) -> None:
         """Note since when the present primary leads."""
@@ -130,30 +132,32 @@
         if endpoint.leaving:
             return "primary leaving"
         if await self._is_silent(record.primary):
-            return "primary silent"
+            return SILENT
         if await self._is_stalled(record.primary):
             return "primary cut off from its replicas"
         return ""
 
     async def _is_silent(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint answers neither this proxy nor most members."""
         pool = self.directory.pools[endpoint_id]
-        now = self.clock()
-        if now - max(pool.answered_at, self.watched_since) < PROBE_AFTER_S:
-            return False
-        try:
-            await self.control.status(endpoint_id)
+        known_since = max(pool.answered_at, self.watched_since)
+        if self.clock() - known_since < PROBE_AFTER_S:
             return False
-        except EndpointError as error:
-            silent_s = self.clock() - max(pool.answered_at, self.watched_since)
-            log.info(
-                "primary probe failed",
-                endpoint=endpoint_id,
-                silent_s=round(silent_s, 3),
-                error=str(error),
-            )
-            if silent_s < SUSPECT_AFTER_S:
-                return False
-        return await self._is_lost_to_most(endpoint_id)
+        lost = False
+
+        async def ask_members() -> None:
+            nonlocal lost
+            lost = await self._is_lost_to_most(endpoint_id)
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(ask_members)
+            try:
+                await self.control.status(endpoint_id)
+                tasks.cancel_scope.cancel()
+            except EndpointError as error:
+                log.info("primary probe failed", endpoint=endpoint_id, error=str(error))
+        silent_s = self.clock() - max(pool.answered_at, self.watched_since)
+        return lost and silent_s >= SUSPECT_AFTER_S
 
     async def _is_lost_to_most(self, endpoint_id: str) -> bool:
         """Return whether less than half of the members reach an endpoint."""
