--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -29,6 +29,8 @@
 __all__ = ["Executor", "SessionContext", "StatementFailedError", "StatementRequest"]
 
 HOLD_SHARE = 0.2  # of the target latency, for a statement without a usable endpoint
+CHANGE_HOLD_SHARE = 0.8  # of the target latency, while a primary is being changed
+CHANGE_USUAL_S = 1.5
 RETRY_PAUSE_S = 0.02
 READ_ATTEMPT_SHARE = 0.5  # of the time left, so that a second endpoint can answer
 
@@ -165,7 +167,7 @@
             If no endpoint may run the statement.
         """
         started_at = self.clock()
-        hold_s = request.route.target_latency_s * HOLD_SHARE
+        hold_s = self._hold_s(request)
         give_up_at = min(started_at + hold_s, request.expires_at)
         while True:
             target = self.select(request, session, tried)
@@ -183,6 +185,18 @@
                 await self.changed.wait()
             tried.clear()
 
+    def _hold_s(self, request: StatementRequest) -> float:
+        """Return for how long a statement waits for an endpoint.
+
+        A change of primary that began a moment ago is about to end, so waiting for it
+        serves the statement sooner than a refusal and another try of the caller.
+        """
+        target_s = request.route.target_latency_s
+        began_s = self.selector.leadership.changing_for_s(request.route.group)
+        if began_s is None or began_s > CHANGE_USUAL_S:
+            return target_s * HOLD_SHARE
+        return target_s * CHANGE_HOLD_SHARE
+
     def slot(
         self, pool: EndpointPool, request: StatementRequest, session: SessionContext
     ) -> SlotGrant:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -1,5 +1,6 @@
 """Session of one caller."""
 
+import contextlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -23,6 +24,7 @@
 IDLE = ConnectionState.IDLE
 TRANSACTION = ConnectionState.TRANSACTION
 FAILED_TRANSACTION = ConnectionState.FAILED_TRANSACTION
+BEGINNINGS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
 
 
 class CallerChannel(Protocol):
@@ -110,10 +112,28 @@
                 took_s = self.clock() - started_at
                 if route is not None:
                     self.observer.answered(statement, route, endpoint, reply, took_s)
+                if statement.kind in BEGINNINGS and reply.failure is None:
+                    await self._begin_early(statement)
         finally:
             if self.transaction is not None:
                 await self.transaction.roll_back()
 
+    async def _begin_early(self, statement: Statement) -> None:
+        """Open a transaction at its endpoint while the caller prepares a statement."""
+        transaction = self.transaction
+        if transaction is None:
+            return
+        request = StatementRequest(
+            statement=statement,
+            route=transaction.route,
+            writes=not transaction.read_only,
+            received_at=transaction.began_at,
+            expires_at=self.clock() + transaction.route.timeout_s,
+        )
+        # The first statement tries again and answers for what goes wrong.
+        with contextlib.suppress(StatementFailedError):
+            await transaction.pin(request)
+
     async def _receive(self) -> Statement | None:
         """Wait for a statement; ends a transaction that stays idle too long."""
         while True:
@@ -177,7 +197,7 @@
         """Answer a statement that needs no endpoint yet, else return None."""
         kind = statement.kind
         context = self.context
-        if kind in (StatementKind.BEGIN, StatementKind.BEGIN_READ):
+        if kind in BEGINNINGS:
             if self.transaction is not None:
                 return self._failed(Failure.MALFORMED, "a transaction is open")
             read_only = kind is StatementKind.BEGIN_READ
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -147,3 +147,15 @@
     assert fleet.selector.primary(GROUP) is None
     fleet.leadership.observe(GROUP, make_record(2, "i-2"), 5)
     assert fleet.selector.primary(GROUP).pool.endpoint.id == "i-2"
+
+
+def test_change_of_primary_is_timed_from_its_first_sign():
+    """Guards against holding statements for a change that does not end."""
+    fleet = Fleet()
+    leadership = fleet.leadership
+    leadership.fence(GROUP, 2)
+    fleet.clock.now += 1.0
+    leadership.observe(GROUP, make_record(2, "i-1", serving=False), 5)
+    assert leadership.changing_for_s(GROUP) == 1.0
+    leadership.observe(GROUP, make_record(2, "i-2"), 6)
+    assert leadership.changing_for_s(GROUP) is None
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -68,6 +68,7 @@
 
     __slots__ = (
         "acknowledged",
+        "changing_since",
         "clock",
         "closed",
         "confirmed_at",
@@ -84,6 +85,7 @@
         self.revisions: dict[str, int] = {}
         self.fenced: dict[str, int] = {}
         self.closed: dict[str, int] = {}
+        self.changing_since: dict[str, float] = {}
         self.writing: dict[str, dict[object, float]] = {}
         self.acknowledged: dict[str, LogPosition] = {}
         self.confirmed_at = float("-inf")
@@ -97,6 +99,7 @@
             self.closed[group] = max(self.closed.get(group, 0), record.epoch)
         self.records[group] = record
         self.revisions[group] = revision
+        self._note_phase(group)
         log.info(
             "primary record observed",
             group=group,
@@ -118,6 +121,7 @@
         if epoch <= self.fenced.get(group, 0):
             return
         self.fenced[group] = epoch
+        self._note_phase(group)
         log.info("primary fenced", group=group, epoch=epoch)
         for notify in self.on_change:
             notify(group)
@@ -170,6 +174,21 @@
             self.acknowledged[group] = max(known, position)
         return True
 
+    def changing_for_s(self, group: str) -> float | None:
+        """Return for how long a primary has been changed, None if it is not."""
+        since = self.changing_since.get(group)
+        return None if since is None else self.clock() - since
+
+    def _note_phase(self, group: str) -> None:
+        """Note when a change of primary was first seen."""
+        record = self.records.get(group)
+        if record is None:
+            return
+        if record.serving and record.epoch >= self.fenced.get(group, 0):
+            self.changing_since.pop(group, None)
+        else:
+            self.changing_since.setdefault(group, self.clock())
+
     def confirmed_for_s(self) -> float:
         """Return for how long the records stay confirmed, negative if they are not."""
         return self.confirmed_at + CONFIRMATION_S - self.clock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -24,7 +24,8 @@
 __all__ = ["GroupSupervisor"]
 
 CHECK_INTERVAL_S = 0.25
-PROBE_AFTER_S = 0.4  # without an answer to a statement
+PROBE_AFTER_S = 0.5  # without an answer to a statement
+ASK_AFTER_S = 0.15  # for the own probe to answer first
 SUSPECT_AFTER_S = 0.8
 STALL_LIMIT_S = 0.7
 STALL_SUSPECT_S = 0.4  # age of a write without an answer
@@ -144,9 +145,12 @@
         if self.clock() - known_since < PROBE_AFTER_S:
             return False
         lost = False
+        failed = anyio.Event()
 
         async def ask_members() -> None:
             nonlocal lost
+            with anyio.move_on_after(ASK_AFTER_S):
+                await failed.wait()
             lost = await self._is_lost_to_most(endpoint_id)
 
         async with anyio.create_task_group() as tasks:
@@ -156,6 +160,7 @@
                 tasks.cancel_scope.cancel()
             except EndpointError as error:
                 log.info("primary probe failed", endpoint=endpoint_id, error=str(error))
+                failed.set()
         silent_s = self.clock() - max(pool.answered_at, self.watched_since)
         return lost and silent_s >= SUSPECT_AFTER_S
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -82,6 +82,7 @@
 TRANSACTION_SHARE = 0.45  # of the grace period
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
+REACHED_WITHIN_S = 0.3  # an answer as young as this needs no probe
 FIRST_CONFIGURATION_S = 1.5  # callers wait 2 s for the answer to their start-up
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -348,10 +349,12 @@
     async def _reaches(self, endpoint_id: str) -> bool:
         """Return whether an endpoint answers, if only that it is at its limit."""
         asked_at = boot_time_s()
+        pool = self.directory.pools.get(endpoint_id)
+        if pool is not None and pool.answered_at >= asked_at - REACHED_WITHIN_S:
+            return True
         try:
             await self.control.status(endpoint_id)
         except EndpointError as error:
-            pool = self.directory.pools.get(endpoint_id)
             answered = pool is not None and pool.answered_at >= asked_at
             log.info(
                 "endpoint probed",
