--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -9,9 +9,9 @@
 from rosemaryward.decisions.admission.concurrency import ConcurrencyLimit
 from rosemaryward.decisions.admission.grant import GrantState, SlotGrant
 from rosemaryward.decisions.admission.reserve import UrgentReserve
+from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.admission.settings import AdmissionSettings
 from rosemaryward.decisions.admission.waiting import RankQueue
-from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.types import Rank
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/schema.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/schema.py
@@ -34,7 +34,6 @@
 PasswordHash = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f]{40}$(?!\n)")]
 
 
-
 class InstanceSection(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -39,6 +39,9 @@
     ) -> Answer:
         """Run a statement; raises `UnansweredError` if no whole answer comes."""
 
+    async def aclose(self) -> None:
+        """Close at once."""
+
 
 class Connector(Protocol):
     """Opens connections."""
@@ -315,4 +318,3 @@
         self.closed = True
         self.queue.close()
         self.discard_idle()
-
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -89,7 +89,9 @@
         now = self.clock()
         for endpoint_id, since in list(self.missing_since.items()):
             if now - since >= REGISTRATION_GRACE_S:
-                log.warning("endpoint gone", endpoint=endpoint_id, missing_s=now - since)
+                log.warning(
+                    "endpoint gone", endpoint=endpoint_id, missing_s=now - since
+                )
                 del self.missing_since[endpoint_id]
                 del self.endpoints[endpoint_id]
                 self.pools.pop(endpoint_id).close()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
@@ -18,6 +18,11 @@
         """Note that an endpoint did not serve a statement."""
 
     def answered(
-        self, statement: Statement, route: Route, endpoint: str, reply: Reply, took_s: float
+        self,
+        statement: Statement,
+        route: Route,
+        endpoint: str,
+        reply: Reply,
+        took_s: float,
     ) -> None:
         """Note what a caller was told."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -15,7 +15,12 @@
     StatementRequest,
 )
 from rosemaryward.decisions.gateway.observer import StatementObserver
-from rosemaryward.decisions.gateway.outcomes import Answer, ConnectionState, Failure, Reply
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectionState,
+    Failure,
+    Reply,
+)
 from rosemaryward.decisions.gateway.statements import Statement, StatementKind
 from rosemaryward.decisions.gateway.transactions import Transaction
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -86,17 +86,20 @@
             return Answer([], "", self.state, instance.position, failure, "told to")
         if since is not None and since > instance.position:
             return self._failed(Failure.BEHIND)
-        if word == "BEGIN":
-            if text == "BEGIN" and not instance.leads:
-                return self._failed(Failure.NOT_PRIMARY)
-            self.state = ConnectionState.TRANSACTION
-        elif word in ("COMMIT", "ROLLBACK"):
-            self.state = IDLE
         writes = word == "WRITE" or (
             word == "EXECUTE" and self.prepared[text.split()[1]][0] == "WRITE"
         )
-        if writes and not instance.leads:
+        if (writes or text == "BEGIN") and not instance.leads:
             return self._failed(Failure.NOT_PRIMARY)
+        return self._run(request_id, text, writes)
+
+    def _run(self, request_id, text, writes):
+        instance = self.instance
+        word = text.split()[0]
+        if word == "BEGIN":
+            self.state = ConnectionState.TRANSACTION
+        elif word in ("COMMIT", "ROLLBACK"):
+            self.state = IDLE
         if (writes and self.state is IDLE) or word == "COMMIT":
             old = instance.position
             instance.position = LogPosition(old.term, old.index + 1)
@@ -187,7 +190,11 @@
         self.clock = clock or Clock()
         self.connector = FakeConnector([self.primary, self.near, self.far])
         self.directory = EndpointDirectory(self.connector, self.clock)
-        for instance, place in ((self.primary, FAR), (self.near, NEAR), (self.far, FAR)):
+        for instance, place in (
+            (self.primary, FAR),
+            (self.near, NEAR),
+            (self.far, FAR),
+        ):
             self.directory.observe(make_endpoint(instance.name, place))
         self.leadership = Leadership(self.clock)
         self.leadership.observe(GROUP, make_record(), 1)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -48,9 +48,7 @@
     fleet = Fleet(OWN)
     fleet.sample_primary(0.3)
     fleet.sample_primary(0.0, LogPosition(2, 8))
-    target = fleet.selector.read(
-        fleet.route, fleet.clock(), LogPosition(1, 12), set()
-    )
+    target = fleet.selector.read(fleet.route, fleet.clock(), LogPosition(1, 12), set())
     assert target.since == LogPosition(2, 8)
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -7,11 +7,18 @@
 import anyio
 import structlog
 
+from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.gateway.connections import (
     OWN_REQUEST_ID,
     PooledConnection,
 )
 from rosemaryward.decisions.gateway.environment import Route
+from rosemaryward.decisions.gateway.execution import (
+    Executor,
+    SessionContext,
+    StatementFailedError,
+    StatementRequest,
+)
 from rosemaryward.decisions.gateway.outcomes import (
     Answer,
     ConnectError,
@@ -19,15 +26,8 @@
     Failure,
     UnansweredError,
 )
-from rosemaryward.decisions.gateway.execution import (
-    Executor,
-    SessionContext,
-    StatementFailedError,
-    StatementRequest,
-)
 from rosemaryward.decisions.gateway.statements import StatementKind
 from rosemaryward.decisions.gateway.targets import Target
-from rosemaryward.decisions.errors import OverloadError
 
 __all__ = ["Transaction"]
 
@@ -122,7 +122,9 @@
                     pooled.broken = answer.state is not ConnectionState.IDLE
             except (UnansweredError, TimeoutError) as error:
                 # Closing the connection rolls back as well.
-                log.info("rollback unanswered", endpoint=self.endpoint, error=str(error))
+                log.info(
+                    "rollback unanswered", endpoint=self.endpoint, error=str(error)
+                )
             finally:
                 target.pool.give_back(pooled)
 
@@ -134,7 +136,8 @@
     async def _run(self, request: StatementRequest) -> Answer:
         if self.pooled is None:
             await self.pin(request)
-        assert self.pooled is not None and self.target is not None
+        assert self.pooled is not None
+        assert self.target is not None
         pooled, target = self.pooled, self.target
         statement = request.statement
         commits = statement.kind is StatementKind.COMMIT
@@ -211,7 +214,9 @@
                         Failure.BUSY, error.reason, endpoint
                     ) from error
 
-    async def _begin(self, request: StatementRequest, target: Target) -> PooledConnection:
+    async def _begin(
+        self, request: StatementRequest, target: Target
+    ) -> PooledConnection:
         """Open the transaction at an endpoint; raises `ConnectError`."""
         text = "BEGIN READ" if self.read_only else "BEGIN"
         pool = target.pool
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -255,7 +255,9 @@
         """Make sure that the old primary confirms nothing more; read positions."""
         others = self._others(record)
         survey = await self._ask(others, self.control.status)
-        newest = max((self._newest_term(s) for s in survey.replicas.values()), default=0)
+        newest = max(
+            (self._newest_term(s) for s in survey.replicas.values()), default=0
+        )
         term = newest + 1
         if self.old_primary_silent:
             # Without replicas that receive, it confirms nothing, reachable or not.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -125,7 +125,9 @@
             try:
                 replies.append(await self.peers.confirmation(member, request))
             except PeerError as error:
-                log.debug("confirmation unanswered", member=member.name, error=str(error))
+                log.debug(
+                    "confirmation unanswered", member=member.name, error=str(error)
+                )
 
         async with anyio.create_task_group() as tasks:
             for member in others:
@@ -138,10 +140,11 @@
             self.leadership.confirm(asked_at - min(ages))
             return "a member that the store answers"
         everyone = len(replies) == len(others) and bool(others)
-        if everyone and self.changing == 0 and asked_at < self.read_at + OUTAGE_LIMIT_S:
-            if not any(reply.changing for reply in replies):
-                self.leadership.confirm(asked_at)
-                return "all members, none of which the store answers"
+        changing = self.changing > 0 or any(reply.changing for reply in replies)
+        short = asked_at < self.read_at + OUTAGE_LIMIT_S
+        if everyone and short and not changing:
+            self.leadership.confirm(asked_at)
+            return "all members, none of which the store answers"
         return ""
 
     def _lists(self, members: Iterable[MemberRecord], incarnation: str) -> bool:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -36,7 +36,7 @@
 
 
 class FailoverDuty:
-    """This proxy's part in holding the duty.
+    """Part of this proxy in holding the duty.
 
     The fencing token is the store's revision of the write that took the duty: it
     grows with every change of the holder and is never used twice.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -14,7 +14,6 @@
 
 CONFIRMATION_S = 4.0  # a change waits as long for a member that cannot be reached
 DRAIN_WRITES_S = 0.15
-DRAIN_POLL_S = 0.005
 
 log = structlog.get_logger(__name__)
 
@@ -76,6 +75,7 @@
         "on_change",
         "records",
         "revisions",
+        "write_ended",
         "writing",
     )
 
@@ -87,6 +87,7 @@
         self.closed: dict[str, int] = {}
         self.changing_since: dict[str, float] = {}
         self.writing: dict[str, dict[object, float]] = {}
+        self.write_ended = anyio.Event()
         self.acknowledged: dict[str, LogPosition] = {}
         self.confirmed_at = float("-inf")
         self.on_change: list[Callable[[str], None]] = []
@@ -136,9 +137,9 @@
             were sent before the fence count as unknown.
         """
         self.fence(group, epoch)
-        give_up_at = self.clock() + DRAIN_WRITES_S
-        while self.writing.get(group) and self.clock() < give_up_at:
-            await anyio.sleep(DRAIN_POLL_S)
+        with anyio.move_on_after(DRAIN_WRITES_S):
+            while self.writing.get(group):
+                await self.write_ended.wait()
         self.closed[group] = max(self.closed.get(group, 0), epoch)
         return self.acknowledged.get(group, LogPosition())
 
@@ -152,6 +153,8 @@
             yield
         finally:
             del running[write]
+            self.write_ended.set()
+            self.write_ended = anyio.Event()
 
     def longest_write_s(self, group: str) -> float:
         """Return for how long the oldest write at a group's primary has run."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -91,7 +91,9 @@
                 try:
                     await self.check()
                 except RosemarywardError as error:
-                    log.warning("supervision failed", group=self.group, error=str(error))
+                    log.warning(
+                        "supervision failed", group=self.group, error=str(error)
+                    )
             await anyio.sleep(CHECK_INTERVAL_S)
 
     async def check(self) -> None:
@@ -182,7 +184,10 @@
                     tasks.start_soon(ask, member)
         reached = sum(answers.values())
         log.info(
-            "primary suspected", endpoint=endpoint_id, reached=reached, asked=len(answers)
+            "primary suspected",
+            endpoint=endpoint_id,
+            reached=reached,
+            asked=len(answers),
         )
         return reached * 2 < len(answers)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import msgspec
 
 from rosemaryward.decisions.gateway.tests.fakes import Clock
@@ -57,10 +59,8 @@
         return await grant(ttl_s)
 
     store.grant_lease = grant_while_another_takes
-    try:
+    with contextlib.suppress(duty_module.ConflictError):
         await step(duty)
-    except duty_module.ConflictError:
-        pass
     assert msgspec.json.decode(store.values[KEY][0], type=DutyRecord) == other
     assert not duty.is_held()
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -5,7 +5,7 @@
 store's revision, which the watch must reach soon afterwards.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol
 
 import anyio
@@ -48,7 +48,7 @@
     Parameters
     ----------
     store : LeaseStore
-    subscribers : dict of str to Subscriber
+    subscribers : mapping of str to Subscriber
         By prefix.
     confirmed_prefix : str
         Read at a fixed interval.
@@ -68,7 +68,7 @@
     def __init__(
         self,
         store: LeaseStore,
-        subscribers: dict[str, Subscriber],
+        subscribers: Mapping[str, Subscriber],
         confirmed_prefix: str,
         on_confirmed: Callable[[float, Listing], None],
         clock: Callable[[], float] = boot_time_s,
@@ -170,9 +170,7 @@
         self.revision = max(self.revision, changes.revision)
 
     def _written(self, stored: StoredValue) -> None:
-        known = max(
-            self.revisions.get(stored.key, 0), self.removals.get(stored.key, 0)
-        )
+        known = max(self.revisions.get(stored.key, 0), self.removals.get(stored.key, 0))
         if stored.revision <= known:
             return
         self.revisions[stored.key] = stored.revision
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -85,9 +85,11 @@
 
 
 async def until(condition):
-    with anyio.fail_after(5.0):
-        while not condition():
-            await anyio.sleep(0.01)
+    for _ in range(500):
+        if condition():
+            return
+        await anyio.sleep(0.01)
+    raise AssertionError("the condition did not come true")
 
 
 async def test_changes_and_removals_arrive():
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/__init__.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/__init__.py
@@ -3,7 +3,7 @@
 Imports only `rosemaryward.decisions`.
 """
 
-from rosemaryward.etcd.store import EtcdStore
 from rosemaryward.etcd.hosts import HttpHostList
+from rosemaryward.etcd.store import EtcdStore
 
 __all__ = ["EtcdStore", "HttpHostList"]
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
@@ -37,6 +37,7 @@
 from rosemaryward.decisions.types import EndpointId
 from rosemaryward.endpoints.connection import Credentials
 from rosemaryward.endpoints.control import MysqlInstanceControl
+from rosemaryward.etcd import EtcdStore, HttpHostList
 from rosemaryward.operators.api import create_app
 from rosemaryward.operators.configuration import ConfigurationService
 from rosemaryward.operators.metrics import ProxyMetrics
@@ -44,7 +45,6 @@
 from rosemaryward.operators.tokens import Role, TokenEntry, TokenRegistry, hash_token
 from rosemaryward.peers.gossip import GossipEndpoint
 from rosemaryward.peers.statements import StatementClient, StatementServer
-from rosemaryward.etcd import EtcdStore, HttpHostList
 from rosemaryward.proxy.contexts import ContextRunner
 from rosemaryward.proxy.directory import ClusterDirectory
 from rosemaryward.proxy.encryption import ProxyTls
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -30,9 +30,7 @@
         raise SystemExit(EXIT_USAGE) from error
     configure_bounded(settings.name)
     node = PlatformNode(settings, path)
-    anyio.run(
-        run_node, node, backend_options={"loop_factory": uvloop.new_event_loop}
-    )
+    anyio.run(run_node, node, backend_options={"loop_factory": uvloop.new_event_loop})
 
 
 async def run_node(node: PlatformNode) -> None:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -183,13 +183,12 @@
             secrets.randbelow(1000) * PATIENCE_LIMIT_S / 1000,
             settings.first_start,
         )
-        self.confirmation = Confirmation(
-            self.incarnation, self.leadership, self.peers
-        )
+        self.confirmation = Confirmation(self.incarnation, self.leadership, self.peers)
         self.mirror = StoreMirror(
             self.store, self._subscribers(), AGREED_PREFIX, self._note_read
         )
         self.sessions: set[CallerSession] = set()
+        self.session_ended = anyio.Event()
         self.supervised: set[str] = set()
         self.draining = False
         self.alive_lease = 0
@@ -266,7 +265,7 @@
         self.draining = True
         log.info("drain begins", sessions=len(self.sessions), grace_s=grace_s)
         await self.duty.give_back()
-        await self._wait_for_sessions(started_at + OUT_OF_ROTATION_S, idle=False)
+        await anyio.sleep(OUT_OF_ROTATION_S)
         for session in list(self.sessions):
             session.end()
         await self._wait_for_sessions(started_at + grace_s * TRANSACTION_SHARE)
@@ -277,9 +276,11 @@
             await self._unregister()
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
 
-    async def _wait_for_sessions(self, until: float, idle: bool = True) -> None:
-        while boot_time_s() < until and (self.sessions or not idle):
-            await anyio.sleep(0.05)
+    async def _wait_for_sessions(self, until: float) -> None:
+        """Return when no session is left, at the latest at a boot time."""
+        with anyio.move_on_after(max(until - boot_time_s(), 0.0)):
+            while self.sessions:
+                await self.session_ended.wait()
 
     def is_ready(self) -> bool:
         """Return whether the proxy can serve callers."""
@@ -318,6 +319,8 @@
             await session.run()
         finally:
             self.sessions.discard(session)
+            self.session_ended.set()
+            self.session_ended = anyio.Event()
 
     def _readiness(self) -> HttpAnswers:
         def answer() -> tuple[int, bytes]:
