--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -26,7 +26,13 @@
 from rosemaryward.decisions.gateway.targets import Target, TargetSelector
 from rosemaryward.decisions.types import LogPosition, Rank
 
-__all__ = ["Executor", "SessionContext", "StatementFailedError", "StatementRequest"]
+__all__ = [
+    "Attempts",
+    "Executor",
+    "SessionContext",
+    "StatementFailedError",
+    "StatementRequest",
+]
 
 HOLD_SHARE = 0.2  # of the target latency, for a statement without a usable endpoint
 CHANGE_HOLD_SHARE = 0.8  # of the target latency, while a primary is being changed
@@ -86,13 +92,56 @@
         self.endpoint = endpoint
 
 
+class Attempts:
+    """Attempts to run one statement.
+
+    Parameters
+    ----------
+    started_at : float
+        Boot time in seconds.
+
+    Attributes
+    ----------
+    tried : set of str
+        Endpoints that could not run it a moment ago.
+    offered : bool
+        Whether an endpoint was asked to run it.
+    waiting_since : float
+        Since when no endpoint has been asked.
+    """
+
+    __slots__ = ("offered", "tried", "waiting_since")
+
+    def __init__(self, started_at: float) -> None:
+        self.tried: set[str] = set()
+        self.offered = False
+        self.waiting_since = started_at
+
+    def note(self, endpoint: str, offered_at: float | None) -> None:
+        """Record a failed attempt.
+
+        Parameters
+        ----------
+        endpoint : str
+        offered_at : float, optional
+            When the endpoint failed the statement; None if it never got it.
+        """
+        self.tried.add(endpoint)
+        if offered_at is not None:
+            self.offered = True
+            self.waiting_since = offered_at
+
+
 class _RetryError(Exception):
     """The statement did not run at an endpoint and may run elsewhere."""
 
-    def __init__(self, failure: Failure, reason: str) -> None:
+    def __init__(
+        self, failure: Failure, reason: str, offered_at: float | None = None
+    ) -> None:
         super().__init__(reason)
         self.failure = failure
         self.reason = reason
+        self.offered_at = offered_at
 
 
 class Executor:
@@ -139,9 +188,9 @@
         self, request: StatementRequest, session: SessionContext
     ) -> tuple[Answer, Target]:
         """Run a single statement; raises `StatementFailedError`."""
-        tried: set[str] = set()
+        attempts = Attempts(self.clock())
         while True:
-            target = await self.wait_for_target(request, session, tried)
+            target = await self.wait_for_target(request, session, attempts)
             endpoint = target.pool.endpoint.id
             try:
                 return await self._attempt(request, session, target), target
@@ -149,15 +198,15 @@
                 self.attempt_failed(
                     request.statement, request.route, endpoint, error.reason
                 )
-                tried.add(endpoint)
+                attempts.note(endpoint, error.offered_at)
                 if self.clock() >= request.expires_at:
-                    failure = Failure.BUSY if request.writes else Failure.TIMED_OUT
+                    failure = Failure.TIMED_OUT if attempts.offered else Failure.BUSY
                     raise StatementFailedError(
                         failure, error.reason, endpoint
                     ) from error
 
     async def wait_for_target(
-        self, request: StatementRequest, session: SessionContext, tried: set[str]
+        self, request: StatementRequest, session: SessionContext, attempts: Attempts
     ) -> Target:
         """Return a target, waiting for a bounded time until there is one.
 
@@ -166,24 +215,23 @@
         StatementFailedError
             If no endpoint may run the statement.
         """
-        started_at = self.clock()
         hold_s = self._hold_s(request)
-        give_up_at = min(started_at + hold_s, request.expires_at)
+        give_up_at = min(attempts.waiting_since + hold_s, request.expires_at)
         while True:
-            target = self.select(request, session, tried)
-            if target is not None:
-                return target
             now = self.clock()
+            target = self.select(request, session, attempts.tried)
+            if target is not None and (now < give_up_at or not attempts.tried):
+                return target
             if now >= give_up_at:
                 group = request.route.group
                 raise StatementFailedError(
                     Failure.BUSY, f"not run: no usable endpoint of {group}"
                 )
             # An endpoint that was busy a moment ago may be asked again.
-            pause_s = min(RETRY_PAUSE_S if tried else hold_s, give_up_at - now)
+            pause_s = min(RETRY_PAUSE_S if attempts.tried else hold_s, give_up_at - now)
             with anyio.move_on_after(pause_s):
                 await self.changed.wait()
-            tried.clear()
+            attempts.tried.clear()
 
     def _hold_s(self, request: StatementRequest) -> float:
         """Return for how long a statement waits for an endpoint.
@@ -260,7 +308,7 @@
                 raise StatementFailedError(
                     Failure.IN_DOUBT, reason, pool.endpoint.id
                 ) from error
-            raise _RetryError(Failure.TIMED_OUT, reason) from error
+            raise _RetryError(Failure.TIMED_OUT, reason, self.clock()) from error
         self.selector.record_answer(target, sent_at, answer)
         return self._check(request, target, answer)
 
@@ -306,7 +354,7 @@
         if failure in NOT_RUN:
             raise _RetryError(failure, f"{failure.name} {answer.reason}")
         if not request.writes:
-            raise _RetryError(failure, f"{failure.name} {answer.reason}")
+            raise _RetryError(failure, f"{failure.name} {answer.reason}", self.clock())
         raise StatementFailedError(failure, answer.reason, endpoint)
 
     def acknowledge(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
@@ -1,3 +1,4 @@
+import anyio
 import pytest
 
 from rosemaryward.decisions.gateway.environment import ReadPolicy
@@ -218,3 +219,13 @@
     channel.send = send
     await session.run()
     assert channel.replies[1].failure is Failure.UNKNOWN_DATABASE
+
+
+async def test_statement_that_no_endpoint_takes_is_refused_early():
+    """Guards against holding a statement to its timeout without offering it."""
+    fleet = Fleet(clock=anyio.current_time, timeout_s=60.0)
+    fleet.primary.refuse_connections = Failure.CONNECTION_LIMIT
+    started_at = fleet.clock()
+    (reply,) = await fleet.serve("WRITE k v")
+    assert reply.failure is Failure.BUSY
+    assert fleet.clock() - started_at < fleet.route.target_latency_s
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -14,6 +14,7 @@
 )
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.execution import (
+    Attempts,
     Executor,
     SessionContext,
     StatementFailedError,
@@ -196,9 +197,11 @@
         StatementFailedError
             If no endpoint could be used; a later statement may try again.
         """
-        tried: set[str] = set()
+        attempts = Attempts(self.executor.clock())
         while True:
-            target = await self.executor.wait_for_target(request, self.session, tried)
+            target = await self.executor.wait_for_target(
+                request, self.session, attempts
+            )
             try:
                 self.pooled = await self._begin(request, target)
                 self.target = target
@@ -208,7 +211,7 @@
                 self.executor.attempt_failed(
                     request.statement, self.route, endpoint, error.reason
                 )
-                tried.add(endpoint)
+                attempts.note(endpoint, None)
                 if self.executor.clock() >= request.expires_at:
                     raise StatementFailedError(
                         Failure.BUSY, error.reason, endpoint
