Let a confirmation depend on the member's lease; restart without idle waits

A read now confirms nothing to a member whose lease key it does not show, so an absent member needs no fence after one confirmation time. Members confirm each other during an outage only if each one's last read showed the asking process. Restart: the lease is taken while the mirror loads, registration and lease key are one write, and the first confirmation follows it at once. A statement with little time left no longer makes its endpoint suspect.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -24,6 +24,7 @@
 CONNECT_TIMEOUT_S = 0.6  # covers one lost opening packet between regions
 AVOID_FIRST_S = 0.5
 AVOID_LIMIT_S = 4.0
+SILENCE_S = 0.3  # longer than most statements run
 RETURN_WAIT_S = 0.15  # for a connection of this proxy when no more are accepted
 LIMIT_PAUSE_S = 0.1
 OWN_REQUEST_ID = "-"  # marks statements of the proxy itself
@@ -197,14 +198,17 @@
         # Other connections may be silent as well; a new one shows it sooner.
         self.discard_idle()
 
-    def note_timeout(self, sent_at: float, reason: str) -> None:
+    def note_unanswered(self, sent_at: float, error: Exception, reason: str) -> None:
         """Record that a statement sent at a time was not answered.
 
-        An endpoint that has answered other statements since then lost one answer; it
-        is not avoided.
+        An endpoint that has answered other statements since then lost one answer, and
+        one that had little time for its answer may be slow; neither is avoided.
         """
-        if self.answered_at < sent_at:
-            self.note_failure(reason)
+        if self.answered_at >= sent_at:
+            return
+        if isinstance(error, TimeoutError) and self.clock() < sent_at + SILENCE_S:
+            return
+        self.note_failure(reason)
 
     async def take(self, wait_s: float) -> PooledConnection:
         """Return an idle connection or open one.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -303,7 +303,7 @@
                     )
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {attempt_s:.3f} s"
-            pool.note_timeout(sent_at, reason)
+            pool.note_unanswered(sent_at, error, reason)
             if sent and writes:
                 raise StatementFailedError(
                     Failure.IN_DOUBT, reason, pool.endpoint.id
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -159,7 +159,7 @@
             ) from error
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {left_s:.3f} s"
-            target.pool.note_timeout(sent_at, reason)
+            target.pool.note_unanswered(sent_at, error, reason)
             failure = Failure.IN_DOUBT if commits and sent else Failure.ROLLED_BACK
             raise StatementFailedError(failure, reason, self.endpoint) from error
         self.executor.selector.record_answer(target, sent_at, answer)
@@ -237,7 +237,7 @@
                 raise ConnectError(answer.failure, f"BEGIN failed: {answer.reason}")
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {left_s:.3f} s"
-            pool.note_timeout(sent_at, reason)
+            pool.note_unanswered(sent_at, error, reason)
             pool.give_back(pooled)
             raise ConnectError(Failure.BUSY, reason) from error
         except BaseException:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -68,12 +68,13 @@
         sent_at : float
             Boot time in seconds.
         members : iterable of MemberRecord
+            Members whose registration and lease the read showed.
         """
-        registered = [member for member in members if not member.expelled]
-        if not self._lists(registered, self.incarnation):
+        living = list(members)
+        if not self._lists(living, self.incarnation):
             return
         self.read_at = sent_at
-        self.members = registered
+        self.members = living
         self.leadership.confirm(sent_at)
 
     def reply(self, request: ConfirmationRequest) -> ConfirmationReply:
@@ -139,7 +140,9 @@
         if ages and min(ages) < CONFIRMATION_S:
             self.leadership.confirm(asked_at - min(ages))
             return "a member that the store answers"
-        everyone = len(replies) == len(others) and bool(others)
+        # A member whose read does not show this process may already count it as absent.
+        registered = sum(reply.registered for reply in replies)
+        everyone = registered == len(others) and bool(others)
         changing = self.changing > 0 or any(reply.changing for reply in replies)
         short = asked_at < self.read_at + OUTAGE_LIMIT_S
         if everyone and short and not changing:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -1,9 +1,9 @@
 """Members of the fleet as registered in the store, and requests between them.
 
 A member's registration outlives its process, so that a change of primary knows every
-proxy that may still rely on a confirmation. A second key, bound to a lease, tells
-whether the process lives. The holder of the duty expels a member whose lease ended;
-an expelled member that lives registers again before it uses a primary.
+proxy that may still rely on a confirmation. A second key, bound to a lease, tells that
+the process lives. A read confirms nothing to a member whose second key it does not
+show; a member whose key has been away for one confirmation can thus rely on none.
 """
 
 from collections.abc import Callable
@@ -28,7 +28,7 @@
     "ReachRequest",
 ]
 
-EXPULSION_MARGIN_S = 0.2  # drift of the clocks over one confirmation
+ABSENCE_MARGIN_S = 0.2  # drift of the clocks over one confirmation
 
 log = structlog.get_logger(__name__)
 
@@ -43,14 +43,11 @@
         ``host:port`` for requests of other members.
     incarnation : str
         Differs between two processes of the same name.
-    expelled : bool
-        Whether the member must register again before it uses a primary.
     """
 
     name: str
     address: str
     incarnation: str
-    expelled: bool = False
 
 
 class FenceRequest(msgspec.Struct, frozen=True, tag="fence"):
@@ -142,17 +139,18 @@
         By name.
     revisions : dict of str to int
         Store revision of each registration.
-    alive : dict of str to float
-        Boot time at which the process of a name was seen to live.
+    alive : set of str
+        Names whose process holds its lease.
+    absent_since : dict of str to float
+        Boot time at which the lease of a registered member was seen to have ended.
     """
 
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
         self.clock = clock
         self.members: dict[str, MemberRecord] = {}
         self.revisions: dict[str, int] = {}
-        self.expelled_at: dict[str, float] = {}
         self.alive: set[str] = set()
-        self.dead_since: dict[str, float] = {}
+        self.absent_since: dict[str, float] = {}
 
     def observe(self, member: MemberRecord, revision: int) -> None:
         """Add a member; a new process of the same name replaces the old one."""
@@ -163,45 +161,42 @@
             member=member.name,
             address=member.address,
             incarnation=member.incarnation,
-            expelled=member.expelled,
             revision=revision,
         )
         self.members[member.name] = member
         self.revisions[member.name] = revision
-        self.expelled_at.pop(member.name, None)
-        if member.expelled:
-            self.expelled_at[member.name] = self.clock()
         if member.name not in self.alive:
-            self.dead_since.setdefault(member.name, self.clock())
+            # Its lease comes next; until then the new process may not use primaries.
+            self.absent_since[member.name] = self.clock()
 
     def lose(self, name: str) -> None:
         """Note that a member ended its registration."""
         if self.members.pop(name, None) is not None:
             log.info("member left", member=name)
         self.revisions.pop(name, None)
-        self.expelled_at.pop(name, None)
-        self.dead_since.pop(name, None)
+        self.absent_since.pop(name, None)
 
     def note_alive(self, name: str) -> None:
-        """Note that the process of a member lives."""
+        """Note that the process of a member holds its lease."""
         self.alive.add(name)
-        self.dead_since.pop(name, None)
+        self.absent_since.pop(name, None)
 
-    def note_dead(self, name: str) -> None:
+    def note_absent(self, name: str) -> None:
         """Note that the lease of a member's process ended or was taken back."""
         self.alive.discard(name)
         if name in self.members:
-            self.dead_since.setdefault(name, self.clock())
+            log.info("member absent", member=name)
+            self.absent_since.setdefault(name, self.clock())
 
     def may_use_primaries(self) -> list[MemberRecord]:
         """Return the members that may hold a confirmation."""
-        limit = self.clock() - CONFIRMATION_S - EXPULSION_MARGIN_S
+        limit = self.clock() - CONFIRMATION_S - ABSENCE_MARGIN_S
         return [
             member
             for name, member in self.members.items()
-            if self.expelled_at.get(name, self.clock()) > limit
+            if self.absent_since.get(name, self.clock()) > limit
         ]
 
-    def registered(self) -> list[MemberRecord]:
-        """Return the members that are not expelled."""
-        return [member for member in self.members.values() if not member.expelled]
+    def living(self) -> list[MemberRecord]:
+        """Return the members whose process holds its lease."""
+        return [m for name, m in self.members.items() if name in self.alive]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -179,7 +179,7 @@
                 log.info("member unreachable", member=member.name, error=str(error))
 
         async with anyio.create_task_group() as tasks:
-            for member in self.members.registered():
+            for member in self.members.living():
                 if member.name != self.duty.holder:
                     tasks.start_soon(ask, member)
         reached = sum(answers.values())
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -7,6 +7,7 @@
     LeaseLostError,
     LeaseStore,
     Listing,
+    Mark,
     StoredValue,
 )
 
@@ -16,6 +17,7 @@
     "LeaseLostError",
     "LeaseStore",
     "Listing",
+    "Mark",
     "StoreMirror",
     "StoredValue",
     "Subscriber",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -145,12 +145,19 @@
                 self._written(stored)
             self.on_confirmed(sent_at, listing)
             self._note_reachable(True, "")
-            await anyio.sleep(CATCH_UP_S)
+            if await self._asked_within(CATCH_UP_S):
+                continue
             self._check_watch(listing)
-            pause_s = max(sent_at + CONFIRM_INTERVAL_S - self.clock(), 0.0)
-            with anyio.move_on_after(pause_s):
-                await self.confirm_now.wait()
-                self.confirm_now = anyio.Event()
+            await self._asked_within(sent_at + CONFIRM_INTERVAL_S - self.clock())
+
+    async def _asked_within(self, wait_s: float) -> bool:
+        """Wait; return early and True if a confirmation is asked for meanwhile."""
+        with anyio.move_on_after(max(wait_s, 0.0)):
+            await self.confirm_now.wait()
+        asked = self.confirm_now.is_set()
+        if asked:
+            self.confirm_now = anyio.Event()
+        return asked
 
     def _check_watch(self, listing: Listing) -> None:
         if self.revision >= listing.revision or self.watch_scope is None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -12,6 +12,7 @@
     "LeaseLostError",
     "LeaseStore",
     "Listing",
+    "Mark",
     "StoredValue",
 ]
 
@@ -63,6 +64,14 @@
     revision: int
 
 
+class Mark(msgspec.Struct, frozen=True):
+    """Key that ends with a lease, written whatever its revision."""
+
+    key: str
+    value: bytes
+    lease_id: int
+
+
 class LeaseStore(Protocol):
     """The platform's store; every method raises `StoreError` without an answer."""
 
@@ -94,6 +103,20 @@
         LeaseLostError
         """
 
+    async def register(self, key: str, value: bytes, expected: int, mark: Mark) -> int:
+        """Replace a value if it has a revision, and set a mark in the same change.
+
+        Returns
+        -------
+        int
+            Revision of the change.
+
+        Raises
+        ------
+        ConflictError
+        LeaseLostError
+        """
+
     async def delete(self, key: str, expected: int) -> None:
         """Delete a key if it has a revision; raises `ConflictError`."""
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -8,6 +8,7 @@
     StoredValue,
     StoreMirror,
 )
+from rosemaryward.decisions.mirror.mirror import CATCH_UP_S
 
 
 class Subscriber:
@@ -152,3 +153,20 @@
     mirror._apply(Changes([], [("k", 25)], 25))
     mirror._apply(Changes([StoredValue("k", b"new", 20)], [], 20))
     assert subscriber.values == {}
+
+
+async def test_confirmation_that_is_asked_for_does_not_wait():
+    """Guards against a restarted proxy that stays unconfirmed for the catch-up time."""
+    store = Store()
+    confirmed = []
+    mirror = StoreMirror(
+        store, {}, "c/", lambda sent_at, listing: confirmed.append(sent_at)
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await until(lambda: len(confirmed) == 1)
+        asked_at = mirror.clock()
+        mirror.confirm_soon()
+        await until(lambda: len(confirmed) == 2)
+        tasks.cancel_scope.cancel()
+    assert confirmed[1] - asked_at < CATCH_UP_S
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -40,6 +40,7 @@
     LeaseLostError,
     LeaseStore,
     Listing,
+    Mark,
     StoredValue,
     StoreMirror,
 )
@@ -65,13 +66,12 @@
 MEMBER_PREFIX = AGREED_PREFIX + "members/"
 GROUP_PREFIX = AGREED_PREFIX + "groups/"
 DUTY_KEY = "rosemaryward-duty"
-ALIVE_PREFIX = "rosemaryward-alive/"
+ALIVE_PREFIX = AGREED_PREFIX + "alive/"
 
-ALIVE_LEASE_S = 6.0
-ALIVE_RENEWAL_S = 2.0
-EXPEL_AFTER_S = 2.0  # a lease that was taken back early is renewed sooner
-EXPEL_INTERVAL_S = 1.0
+ALIVE_LEASE_S = 3.0
+ALIVE_RENEWAL_S = 1.0
 FORGET_AFTER_S = 60.0
+FORGET_INTERVAL_S = 5.0
 UNREADY_AFTER_S = 2.0  # left of a confirmation; the balancer needs two misses
 RETRY_PAUSE_S = 0.3
 SWEEP_INTERVAL_S = 0.25
@@ -192,6 +192,7 @@
         self.supervised: set[str] = set()
         self.draining = False
         self.alive_lease = 0
+        self.first_lease = 0  # not bound to a key yet
 
     def _subscribers(self) -> dict[str, RecordSubscriber]:
         subscribers = [
@@ -205,7 +206,7 @@
             RecordSubscriber(
                 ALIVE_PREFIX,
                 lambda name, stored: self.members.note_alive(name),
-                self.members.note_dead,
+                self.members.note_absent,
             ),
             RecordSubscriber(GROUP_PREFIX, self._observe_group, self._group_removed),
             RecordSubscriber(DUTY_KEY, self._observe_duty, self._duty_removed),
@@ -227,7 +228,7 @@
                 self.mirror.run,
                 self._register,
                 self._hold_duty,
-                self._expel,
+                self._forget,
                 self.confirmation.run,
                 self._sweep,
                 self._supervise,
@@ -297,10 +298,12 @@
             self._serve_caller,
         )
 
-    async def _knows(self, database: str) -> bool:
-        """Return whether a route has a name, waiting for the first configuration."""
+    async def _knows(self, database: str) -> bool | None:
+        """Return whether a route has a name, None without a configuration."""
         with anyio.move_on_after(FIRST_CONFIGURATION_S):
             await self.configured.wait()
+        if not self.environment.version:
+            return None
         return database in self.environment.routes
 
     async def _serve_caller(
@@ -398,23 +401,34 @@
         self.members.observe(record, stored.revision)
 
     def _note_read(self, sent_at: float, listing: Listing) -> None:
-        """Confirm the records if the read shows this process as a member."""
+        """Confirm the records if the read shows this process as a living member."""
         members = []
+        alive = {
+            stored.key.removeprefix(ALIVE_PREFIX): stored.value.decode()
+            for stored in listing.values
+            if stored.key.startswith(ALIVE_PREFIX)
+        }
         for stored in listing.values:
-            if stored.key.startswith(MEMBER_PREFIX):
-                try:
-                    record = msgspec.json.decode(stored.value, type=MemberRecord)
-                except msgspec.DecodeError as error:
-                    log.warning("unreadable member", key=stored.key, error=str(error))
-                    continue
+            if not stored.key.startswith(MEMBER_PREFIX):
+                continue
+            try:
+                record = msgspec.json.decode(stored.value, type=MemberRecord)
+            except msgspec.DecodeError as error:
+                log.warning("unreadable member", key=stored.key, error=str(error))
+                continue
+            if alive.get(record.name) == record.incarnation:
                 members.append(record)
         self.confirmation.note_read(sent_at, members)
 
     async def _refresh_members(self) -> None:
         """Read the members from the store; raises `StoreError`."""
-        listing = await self.store.list(MEMBER_PREFIX)
+        listing = await self.store.list(AGREED_PREFIX)
+        for stored in listing.values:
+            if stored.key.startswith(MEMBER_PREFIX):
+                self._observe_member(stored.key, stored)
         for stored in listing.values:
-            self._observe_member(stored.key, stored)
+            if stored.key.startswith(ALIVE_PREFIX):
+                self.members.note_alive(stored.key.removeprefix(ALIVE_PREFIX))
 
     def _observe_group(self, name: str, stored: StoredValue) -> None:
         record = msgspec.json.decode(stored.value, type=GroupRecord)
@@ -434,7 +448,9 @@
 
     async def _register(self) -> None:
         """Keep this proxy registered and its lease alive."""
-        await self.mirror.loaded.wait()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._take_first_lease)
+            await self.mirror.loaded.wait()
         while True:
             pause_s = ALIVE_RENEWAL_S
             try:
@@ -460,22 +476,27 @@
         """
         name = self.settings.name
         record = MemberRecord(name, self.settings.peer_address, self.incarnation)
-        if self.members.members.get(name) != record:
-            revision = await self.store.write(
-                MEMBER_PREFIX + name,
-                msgspec.json.encode(record),
-                self.members.revisions.get(name, 0),
-            )
-            self.members.observe(record, revision)
-            self.mirror.confirm_soon()
-        if self.alive_lease:
+        if self.alive_lease and self.members.members.get(name) == record:
             await self.store.renew_lease(self.alive_lease)
             return
-        lease = await self.store.grant_lease(ALIVE_LEASE_S)
-        key = ALIVE_PREFIX + name
-        known = self.mirror.revisions.get(key, 0)
-        await self.store.write(key, self.incarnation.encode(), known, lease)
+        lease = self.first_lease or await self.store.grant_lease(ALIVE_LEASE_S)
+        self.first_lease = 0
+        revision = await self.store.register(
+            MEMBER_PREFIX + name,
+            msgspec.json.encode(record),
+            self.members.revisions.get(name, 0),
+            Mark(ALIVE_PREFIX + name, self.incarnation.encode(), lease),
+        )
+        self.members.observe(record, revision)
         self.alive_lease = lease
+        self.mirror.confirm_soon()
+
+    async def _take_first_lease(self) -> None:
+        """Take the lease while the mirror loads, so that a restart serves sooner."""
+        try:
+            self.first_lease = await self.store.grant_lease(ALIVE_LEASE_S)
+        except StoreError as error:
+            log.info("no lease yet", error=str(error))
 
     async def _unregister(self) -> None:
         name = self.settings.name
@@ -487,31 +508,20 @@
         except StoreError as error:
             log.info("registration not removed", error=str(error))
 
-    async def _expel(self) -> None:
-        """Expel members whose process is gone, while this proxy holds the duty."""
+    async def _forget(self) -> None:
+        """Remove registrations of members long gone, while holding the duty."""
         while True:
-            await anyio.sleep(EXPEL_INTERVAL_S)
+            await anyio.sleep(FORGET_INTERVAL_S)
             if not self.duty.is_held():
                 continue
-            for name, since in list(self.members.dead_since.items()):
-                dead_s = boot_time_s() - since
-                member = self.members.members.get(name)
-                if member is None or dead_s < EXPEL_AFTER_S:
+            for name, since in list(self.members.absent_since.items()):
+                if boot_time_s() - since < FORGET_AFTER_S:
                     continue
+                revision = self.members.revisions[name]
                 try:
-                    await self._expel_member(member, dead_s)
+                    await self.store.delete(MEMBER_PREFIX + name, revision)
                 except StoreError as error:
-                    log.info("member not expelled", member=name, error=str(error))
-
-    async def _expel_member(self, member: MemberRecord, dead_s: float) -> None:
-        key = MEMBER_PREFIX + member.name
-        revision = self.members.revisions[member.name]
-        if not member.expelled:
-            record = msgspec.structs.replace(member, expelled=True)
-            value = msgspec.json.encode(record)
-            self.members.observe(record, await self.store.write(key, value, revision))
-        elif dead_s > FORGET_AFTER_S:
-            await self.store.delete(key, revision)
+                    log.info("member not forgotten", member=name, error=str(error))
 
     async def _hold_duty(self) -> None:
         await self.mirror.loaded.wait()
