--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -42,15 +42,22 @@
 
 
 class SessionContext:
-    """Values, prepared statements and newest commit of one session."""
+    """Values, prepared statements and newest commit of one session.
 
-    __slots__ = ("caller", "position", "prepared", "values")
+    Attributes
+    ----------
+    target : Target, optional
+        Where the present statement runs, and what allowed it.
+    """
+
+    __slots__ = ("caller", "position", "prepared", "target", "values")
 
     def __init__(self, caller: str) -> None:
         self.caller = caller
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
         self.position = LogPosition()
+        self.target: Target | None = None
 
 
 class StatementRequest(msgspec.Struct, frozen=True, kw_only=True):
@@ -192,6 +199,7 @@
         while True:
             target = await self.wait_for_target(request, session, attempts)
             endpoint = target.pool.endpoint.id
+            session.target = target
             try:
                 return await self._attempt(request, session, target), target
             except _RetryError as error:
@@ -308,6 +316,8 @@
                 raise StatementFailedError(
                     Failure.IN_DOUBT, reason, pool.endpoint.id
                 ) from error
+            if not sent:
+                raise _RetryError(Failure.BUSY, reason) from error
             raise _RetryError(Failure.TIMED_OUT, reason, self.clock()) from error
         self.selector.record_answer(target, sent_at, answer)
         return self._check(request, target, answer)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
@@ -5,6 +5,7 @@
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.outcomes import Reply
 from rosemaryward.decisions.gateway.statements import Statement
+from rosemaryward.decisions.gateway.targets import Target
 
 __all__ = ["StatementObserver"]
 
@@ -22,6 +23,7 @@
         statement: Statement,
         route: Route,
         endpoint: str,
+        target: Target | None,
         reply: Reply,
         took_s: float,
     ) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -116,7 +116,10 @@
                 await self.channel.send(statement, reply)
                 took_s = self.clock() - started_at
                 if route is not None:
-                    self.observer.answered(statement, route, endpoint, reply, took_s)
+                    target = self.context.target
+                    self.observer.answered(
+                        statement, route, endpoint, target, reply, took_s
+                    )
                 if statement.kind in BEGINNINGS and reply.failure is None:
                     await self._begin_early(statement)
         finally:
@@ -163,6 +166,7 @@
     async def _serve(
         self, statement: Statement, started_at: float
     ) -> tuple[Reply, Route | None, str]:
+        self.context.target = None
         transaction = self.transaction
         if transaction is None:
             route = self.environment().routes.get(self.database)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -164,7 +164,7 @@
     def attempt_failed(self, statement, route, endpoint, reason):
         self.attempts.append((endpoint, reason))
 
-    def answered(self, statement, route, endpoint, reply, took_s):
+    def answered(self, statement, route, endpoint, target, reply, took_s):
         self.answers.append((endpoint, reply))
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -140,6 +140,7 @@
         assert self.pooled is not None
         assert self.target is not None
         pooled, target = self.pooled, self.target
+        self.session.target = target
         statement = request.statement
         commits = statement.kind is StatementKind.COMMIT
         sent = False
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -163,11 +163,13 @@
         self.environment = NO_ENVIRONMENT
         self.configured = anyio.Event()
         self.metrics = ProxyMetrics(settings.name)
-        self.statements = StatementLog(self.metrics)
         self.store = PlatformStore(settings.store_address)
         self.connector = LineConnector(settings.name)
         self.directory = EndpointDirectory(self.connector)
         self.leadership = Leadership()
+        self.statements = StatementLog(
+            self.metrics, self.leadership, lambda: self.environment.version
+        )
         self.members = MemberDirectory()
         self.control = LineGroupControl(self.directory)
         self.promoter = PlatformPromoter(settings.promotion_address)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
@@ -1,31 +1,48 @@
 """Log lines and metrics of single statements."""
 
+from collections.abc import Callable
+
 import structlog
 
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.outcomes import NOT_RUN, Failure, Reply
 from rosemaryward.decisions.gateway.statements import Statement
+from rosemaryward.decisions.gateway.targets import Target
+from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.operators.bounded_logs import RequestBudget
 from rosemaryward.operators.metrics import ProxyMetrics
 
 __all__ = ["StatementLog"]
 
 UNKNOWN = frozenset({Failure.IN_DOUBT, Failure.TIMED_OUT})
+ROUTINE_LINES_PER_S = 5.0
+ROUTINE_BURST_LINES = 20.0
 
 log = structlog.get_logger(__name__)
 
 
 class StatementLog:
-    """Counts every statement and logs decisions within a budget.
+    """Counts every statement and logs decisions within budgets.
+
+    Statements that were served in time have a small budget of their own, so that
+    they cannot crowd out the lines about failures.
 
     Parameters
     ----------
     metrics : ProxyMetrics
+    leadership : Leadership
+    version : callable
+        Returns the version of the configuration in force.
     """
 
-    def __init__(self, metrics: ProxyMetrics) -> None:
+    def __init__(
+        self, metrics: ProxyMetrics, leadership: Leadership, version: Callable[[], int]
+    ) -> None:
         self.metrics = metrics
+        self.leadership = leadership
+        self.version = version
         self.budget = RequestBudget()
+        self.routine = RequestBudget(ROUTINE_LINES_PER_S, ROUTINE_BURST_LINES)
 
     def attempt_failed(
         self, statement: Statement, route: Route, endpoint: str, reason: str
@@ -48,18 +65,22 @@
         statement: Statement,
         route: Route,
         endpoint: str,
+        target: Target | None,
         reply: Reply,
         took_s: float,
     ) -> None:
-        """Note what a caller was told."""
+        """Note what a caller was told, and what decided where the statement ran."""
         outcome = self._outcome(reply.failure)
         self.metrics.record_outcome(route.database, route.rank, outcome)
         self.metrics.record_statement(route.database, route.rank, 0.0, took_s)
-        if reply.failure is None and took_s <= route.target_latency_s:
-            return
-        left_out = self.budget.take()
+        in_time = reply.failure is None and took_s <= route.target_latency_s
+        if in_time and not endpoint:
+            return  # answered by the proxy alone
+        left_out = (self.routine if in_time else self.budget).take()
         if left_out is None:
             return
+        record = self.leadership.records.get(route.group)
+        since = None if target is None or target.since is None else target.since
         log.info(
             "statement answered",
             request=statement.request_id,
@@ -67,6 +88,11 @@
             database=route.database,
             group=route.group,
             endpoint=endpoint,
+            since=since and since.to_token(),
+            epoch=record and record.epoch,
+            serving=record and record.serving,
+            confirmed_for_s=round(self.leadership.confirmed_for_s(), 2),
+            configuration=self.version(),
             outcome=outcome,
             failure=reply.failure and reply.failure.name,
             reason=reply.reason,
