Ask the last holder to release the duty instead of waiting for its lease

The holder is now asked; it stops and says so once nothing that it began is left. A member that does not answer is still waited for.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -1,6 +1,6 @@
 """The duty to change primaries, held by one proxy at a time."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import anyio
 import msgspec
@@ -51,6 +51,8 @@
         Time that this proxy leaves to others before it takes a free duty.
     first_start : bool
         Whether the whole fleet starts for the first time.
+    ask_release : callable
+        Asks the member of a name to stop acting under a token; True if it has.
     clock : callable, optional
     """
 
@@ -62,6 +64,7 @@
         incarnation: str,
         patience_s: float,
         first_start: bool,
+        ask_release: Callable[[str, int], Awaitable[bool]],
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.store = store
@@ -70,10 +73,14 @@
         self.incarnation = incarnation
         self.patience_s = patience_s
         self.first_start = first_start
+        self.ask_release = ask_release
+        self.last_holder = ""
+        self.released = False
         self.clock = clock
         self.record: DutyRecord | None = None
         self.revision = 0
         self.token = 0
+        self.last_token = 0
         self.started_at = clock()
         self.free_since = clock()
         self.lease_id = 0
@@ -90,7 +97,10 @@
 
     def removed(self) -> None:
         """Note that the record's lease ended or was taken back."""
-        log.info("duty key removed", holder=self.record and self.record.holder)
+        self.last_holder = "" if self.record is None else self.record.holder
+        log.info("duty key removed", holder=self.last_holder, token=self.revision)
+        self.last_token = self.revision
+        self.released = False
         self.record = None
         self.revision = 0
         self.free_since = self.clock()
@@ -110,11 +120,13 @@
         while True:
             pause_s = POLL_S
             try:
-                if self._is_mine():
+                if self._is_mine() and self.token == self.revision:
                     await self._renew()
                     pause_s = RENEWAL_S
-                elif self._is_free():
-                    await self._take()
+                else:
+                    await self._ask_last_holder()
+                    if self._is_free():
+                        await self._take()
             except ConflictError:
                 log.info("duty taken by another proxy")
                 self.free_since = self.clock()
@@ -134,6 +146,21 @@
         except StoreError as error:
             log.info("duty not given back", error=str(error))
 
+    def release(self, token: int) -> None:
+        """Stop acting under a token, at another member's request."""
+        if self.token == token:
+            log.info("duty released", token=token)
+            self.token = 0
+
+    async def _ask_last_holder(self) -> None:
+        """Find out whether the last holder has stopped, rather than wait for it."""
+        if self.record is not None or self.released or not self.last_holder:
+            return
+        token = self.last_token
+        released = await self.ask_release(self.last_holder, token)
+        if token == self.last_token:
+            self.released = released
+
     def _is_mine(self) -> bool:
         record = self.record
         return record is not None and record.incarnation == self.incarnation
@@ -149,7 +176,8 @@
             return False
         if record is None:
             # The key may have been taken back while its holder still acts.
-            return waited_s >= LEASE_S + self.patience_s
+            lease_s = 0.0 if self.released else LEASE_S
+            return waited_s >= lease_s + self.patience_s
         return not record.holder and waited_s >= self.patience_s
 
     async def _renew(self) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -26,6 +26,8 @@
     "PeerChannel",
     "ReachReply",
     "ReachRequest",
+    "ReleaseReply",
+    "ReleaseRequest",
 ]
 
 ABSENCE_MARGIN_S = 0.2  # drift of the clocks over one confirmation
@@ -111,6 +113,30 @@
     records: dict[str, tuple[GroupRecord, int]]
 
 
+class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
+    """Stop acting under a duty whose key is gone from the store.
+
+    Parameters
+    ----------
+    token : int
+        Token under which the duty was held.
+    """
+
+    token: int
+
+
+class ReleaseReply(msgspec.Struct, frozen=True, tag="released"):
+    """The answering member begins nothing under the token any more.
+
+    Parameters
+    ----------
+    stopped : bool
+        Whether what it had begun has ended as well.
+    """
+
+    stopped: bool
+
+
 class PeerChannel(Protocol):
     """Requests to other members; every method raises `PeerError`."""
 
@@ -120,6 +146,9 @@
     async def reaches(self, member: MemberRecord, request: ReachRequest) -> bool:
         """Ask a member whether an endpoint answers."""
 
+    async def release_duty(self, member: MemberRecord, request: ReleaseRequest) -> bool:
+        """Ask the last holder of the duty to stop; return whether it has."""
+
     async def confirmation(
         self, member: MemberRecord, request: ConfirmationRequest
     ) -> ConfirmationReply:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
@@ -1,6 +1,7 @@
 import contextlib
 
 import msgspec
+import pytest
 
 from rosemaryward.decisions.gateway.tests.fakes import Clock
 from rosemaryward.decisions.leadership import duty as duty_module
@@ -10,15 +11,22 @@
 KEY = "duty"
 
 
-def make_duty(store, clock, name="proxy-1", first_start=True):
-    return FailoverDuty(store, KEY, name, f"inc-{name}", 0.0, first_start, clock)
+def make_duty(store, clock, name="proxy-1", first_start=True, releases=False):
+    async def ask_release(holder, token):
+        return releases
+
+    return FailoverDuty(
+        store, KEY, name, f"inc-{name}", 0.0, first_start, ask_release, clock
+    )
 
 
 async def step(duty):
     """Run one round of the duty's loop."""
     if duty._is_mine():
         await duty._renew()
-    elif duty._is_free():
+        return
+    await duty._ask_last_holder()
+    if duty._is_free():
         await duty._take()
 
 
@@ -106,3 +114,26 @@
     duty.observe(DutyRecord("", "inc-proxy-1"), 12)
     await step(duty)
     assert duty.is_held()
+
+
+@pytest.mark.parametrize("releases", [True, False])
+async def test_removed_duty_waits_for_a_holder_that_does_not_answer(releases):
+    """Guards against two holders after the platform took the key back."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock, name="proxy-2", releases=releases)
+    duty.observe(DutyRecord("proxy-1", "inc-proxy-1"), 31)
+    duty.removed()
+    await step(duty)
+    assert duty.is_held() is releases
+
+
+async def test_released_holder_stops_at_once():
+    """Guards against a holder that acts after it said that it has stopped."""
+    store, clock = MemoryStore(), Clock()
+    duty = make_duty(store, clock)
+    clock.now += 10.0
+    await step(duty)
+    duty.release(duty.token - 1)
+    assert duty.is_held()
+    duty.release(duty.token)
+    assert not duty.is_held()
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
@@ -1,4 +1,4 @@
-"""Rare requests between members: fences, reachability, relayed confirmations.
+"""Rare requests between members: fences, releases, reachability, confirmations.
 
 Each request uses its own TCP connection, so that a connection that went silent
 cannot delay a fence.
@@ -21,6 +21,8 @@
     MemberRecord,
     ReachReply,
     ReachRequest,
+    ReleaseReply,
+    ReleaseRequest,
 )
 
 __all__ = ["FleetChannel", "FleetServer"]
@@ -29,8 +31,8 @@
 LENGTH_SIZE = 4  # bytes
 MAX_MESSAGE_SIZE = 64 * 1024  # bytes
 
-Request = FenceRequest | ReachRequest | ConfirmationRequest
-Reply = FenceReply | ReachReply | ConfirmationReply
+Request = FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest
+Reply = FenceReply | ReachReply | ConfirmationReply | ReleaseReply
 
 log = structlog.get_logger(__name__)
 
@@ -63,6 +65,11 @@
         reply = await self._request(member, request)
         return isinstance(reply, ReachReply) and reply.answered
 
+    async def release_duty(self, member: MemberRecord, request: ReleaseRequest) -> bool:
+        """Ask the last holder of the duty to stop; raises `PeerError`."""
+        reply = await self._request(member, request)
+        return isinstance(reply, ReleaseReply) and reply.stopped
+
     async def confirmation(
         self, member: MemberRecord, request: ConfirmationRequest
     ) -> ConfirmationReply:
@@ -115,7 +122,7 @@
                 with anyio.fail_after(REQUEST_TIMEOUT_S):
                     request = _request_decoder.decode(await _receive(stream))
                 await _send(stream, await self.handler(request))
-        except (TimeoutError, *_FAILURES) as error:
+        except (TimeoutError, PeerError, *_FAILURES) as error:
             log.info("member request failed", error=repr(error))
 
 
--- /dev/null
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_fleet.py
@@ -0,0 +1,83 @@
+import anyio
+import pytest
+
+from rosemaryward.decisions.errors import PeerError
+from rosemaryward.decisions.leadership.members import (
+    ConfirmationReply,
+    ConfirmationRequest,
+    FenceReply,
+    FenceRequest,
+    MemberRecord,
+    ReachReply,
+    ReachRequest,
+    ReleaseReply,
+    ReleaseRequest,
+)
+from rosemaryward.decisions.leadership.records import GroupRecord
+from rosemaryward.decisions.types import LogPosition
+from rosemaryward.peers.fleet import LENGTH_SIZE, FleetChannel, FleetServer
+
+RECORD = GroupRecord(epoch=2, primary="i-1", serving=True, holder="proxy-1")
+
+
+async def answer(request):
+    if isinstance(request, FenceRequest):
+        return FenceReply(f"{request.group}-{request.epoch}", LogPosition(3, 7))
+    if isinstance(request, ReachRequest):
+        return ReachReply(request.endpoint == "i-1")
+    if isinstance(request, ReleaseRequest):
+        return ReleaseReply(stopped=request.token == 7)
+    return ConfirmationReply(0.5, True, False, {"orders": (RECORD, 9)})
+
+
+async def serve(tasks):
+    server = FleetServer("127.0.0.1:0", answer)
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    tasks.start_soon(listener.serve, server._serve)
+    port = listener.extra(anyio.abc.SocketAttribute.local_port)
+    return MemberRecord("proxy-2", f"127.0.0.1:{port}", "inc")
+
+
+async def test_requests_and_replies():
+    """Guards against a reply of one kind taken for another."""
+    channel = FleetChannel()
+    async with anyio.create_task_group() as tasks:
+        member = await serve(tasks)
+        fence = await channel.fence(member, FenceRequest("orders", 4))
+        assert fence == FenceReply("orders-4", LogPosition(3, 7))
+        assert await channel.reaches(member, ReachRequest("i-1"))
+        assert not await channel.reaches(member, ReachRequest("i-2"))
+        assert await channel.release_duty(member, ReleaseRequest(7))
+        reply = await channel.confirmation(member, ConfirmationRequest("inc"))
+        assert reply.records == {"orders": (RECORD, 9)}
+        tasks.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        pytest.param(b"\xff" * 8, id="too-long"),
+        pytest.param((3).to_bytes(LENGTH_SIZE, "big") + b"abc", id="not-a-request"),
+        pytest.param(b"\x00", id="cut-off"),
+    ],
+)
+async def test_broken_request_ends_only_its_connection(message):
+    """Guards against a member that stops answering after bad input."""
+    async with anyio.create_task_group() as tasks:
+        member = await serve(tasks)
+        host, _, port = member.address.partition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(message)
+            await stream.send_eof()
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                await stream.receive()
+        assert await FleetChannel().reaches(member, ReachRequest("i-1"))
+        tasks.cancel_scope.cancel()
+
+
+async def test_unreachable_member():
+    """Guards against another error than the callers handle."""
+    with pytest.raises(PeerError):
+        await FleetChannel().reaches(
+            MemberRecord("proxy-2", "127.0.0.1:1", "inc"), ReachRequest("i-1")
+        )
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -13,6 +13,7 @@
     ConflictError,
     DocumentError,
     EndpointError,
+    PeerError,
     SettingsError,
     StoreError,
 )
@@ -33,6 +34,8 @@
     MemberRecord,
     ReachReply,
     ReachRequest,
+    ReleaseReply,
+    ReleaseRequest,
 )
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.supervisor import GroupSupervisor
@@ -184,6 +187,7 @@
             self.incarnation,
             secrets.randbelow(1000) * PATIENCE_LIMIT_S / 1000,
             settings.first_start,
+            self._ask_release,
         )
         self.confirmation = Confirmation(self.incarnation, self.leadership, self.peers)
         self.mirror = StoreMirror(
@@ -343,8 +347,9 @@
         return HttpAnswers(self.settings.metrics_address, {"/metrics": answer})
 
     async def _answer_member(
-        self, request: FenceRequest | ReachRequest | ConfirmationRequest
-    ) -> FenceReply | ReachReply | ConfirmationReply:
+        self,
+        request: FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest,
+    ) -> FenceReply | ReachReply | ConfirmationReply | ReleaseReply:
         if isinstance(request, FenceRequest):
             position = await self.leadership.fence_and_drain(
                 request.group, request.epoch
@@ -352,8 +357,22 @@
             return FenceReply(self.incarnation, position)
         if isinstance(request, ConfirmationRequest):
             return self.confirmation.reply(request)
+        if isinstance(request, ReleaseRequest):
+            self.duty.release(request.token)
+            return ReleaseReply(stopped=self.confirmation.changing == 0)
         return ReachReply(await self._reaches(request.endpoint))
 
+    async def _ask_release(self, name: str, token: int) -> bool:
+        """Return whether the member of a name no longer acts under a token."""
+        member = self.members.members.get(name)
+        if member is None:
+            return False
+        try:
+            return await self.peers.release_duty(member, ReleaseRequest(token))
+        except PeerError as error:
+            log.info("last holder unreachable", member=name, error=str(error))
+            return False
+
     async def _reaches(self, endpoint_id: str) -> bool:
         """Return whether an endpoint answers, if only that it is at its limit."""
         asked_at = boot_time_s()
