Hold confirmations for 6 s, which bridges an outage while a host is lost

Ruled out: a rule that leaves unreachable members out, since one of them may have announced a change. A newcomer's wait for the duty counts from its registration, as members may know of it only from then on.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/duty.py
@@ -81,11 +81,15 @@
         self.revision = 0
         self.token = 0
         self.last_token = 0
-        self.started_at = clock()
+        self.registered_at = float("inf")
         self.free_since = clock()
         self.lease_id = 0
         self.renewed_at = float("-inf")
 
+    def note_registered(self) -> None:
+        """Note that other members can know of this process from now on."""
+        self.registered_at = min(self.registered_at, self.clock())
+
     def observe(self, record: DutyRecord, revision: int) -> None:
         """Take over the record as written in the store."""
         if revision <= self.revision:
@@ -172,7 +176,8 @@
             return True  # an earlier process of this proxy
         # Members that outlive an outage of the store rely on no newcomer changing a
         # primary meanwhile.
-        if not self.first_start and self.clock() < self.started_at + NEWCOMER_WAIT_S:
+        newcomer = self.clock() < self.registered_at + NEWCOMER_WAIT_S
+        if newcomer and not self.first_start:
             return False
         if record is None:
             # The key may have been taken back while its holder still acts.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -12,7 +12,7 @@
 
 __all__ = ["CONFIRMATION_S", "GroupRecord", "Leadership"]
 
-CONFIRMATION_S = 4.0  # a change waits as long for a member that cannot be reached
+CONFIRMATION_S = 6.0  # a change waits as long for a member that cannot be reached
 DRAIN_WRITES_S = 0.15
 
 log = structlog.get_logger(__name__)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_duty.py
@@ -100,9 +100,16 @@
     """Guards against a change by a proxy that members cut off do not know."""
     store, clock = MemoryStore(), Clock()
     duty = make_duty(store, clock, name="proxy-9", first_start=False)
+    clock.now += 60.0  # the store did not answer the new process
+    await step(duty)
+    assert not duty.is_held()
+    duty.note_registered()
     clock.now += duty_module.NEWCOMER_WAIT_S - 1.0
     await step(duty)
     assert not duty.is_held()
+    clock.now += 2.0
+    await step(duty)
+    assert duty.is_held()
 
 
 async def test_duty_that_was_given_back_is_taken_at_once():
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -509,6 +509,7 @@
             Mark(ALIVE_PREFIX + name, self.incarnation.encode(), lease),
         )
         self.members.observe(record, revision)
+        self.duty.note_registered()
         self.alive_lease = lease
         self.mirror.confirm_soon()
 
