--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -29,7 +29,13 @@
 )
 from rosemaryward.decisions.types import LogPosition
 
-__all__ = ["ChangeAbandonedError", "DutyTerm", "PrimaryChange", "RecordWriter"]
+__all__ = [
+    "ChangeAbandonedError",
+    "ChangeCollaborators",
+    "DutyTerm",
+    "PrimaryChange",
+    "RecordWriter",
+]
 
 CONFIRMATION_MARGIN_S = 0.2  # drift of the clocks over one confirmation
 FENCE_RETRY_S = 0.1
@@ -63,19 +69,11 @@
         """Return the new revision; raises `ConflictError` and `StoreError`."""
 
 
-class _Survey(msgspec.Struct, frozen=True):
-    """Positions of the replicas that answered, and those that did not."""
-
-    replicas: dict[str, EndpointStatus]
-    silent: list[str]
-
-
-class PrimaryChange:
-    """Replaces the primary of one group.
+class ChangeCollaborators(msgspec.Struct, frozen=True, kw_only=True):
+    """What the supervision and the change of primaries work with.
 
     Parameters
     ----------
-    group : str
     duty : DutyTerm
     directory : EndpointDirectory
     leadership : Leadership
@@ -88,35 +86,54 @@
         Told that a change may have been announced.
     refresh_members : callable
         Reads the members from the store; raises `StoreError`.
+    """
+
+    duty: DutyTerm
+    directory: EndpointDirectory
+    leadership: Leadership
+    members: MemberDirectory
+    peers: PeerChannel
+    control: GroupControl
+    promoter: Promoter
+    writer: RecordWriter
+    confirmation: Confirmation
+    refresh_members: Callable[[], Awaitable[None]]
+
+
+class _Survey(msgspec.Struct, frozen=True):
+    """Positions of the replicas that answered, and those that did not."""
+
+    replicas: dict[str, EndpointStatus]
+    silent: list[str]
+
+
+class PrimaryChange:
+    """Replaces the primary of one group.
+
+    Parameters
+    ----------
+    group : str
+    collaborators : ChangeCollaborators
     clock : callable, optional
     """
 
-    def __init__(  # noqa: PLR0913
+    def __init__(
         self,
         group: str,
-        duty: DutyTerm,
-        directory: EndpointDirectory,
-        leadership: Leadership,
-        members: MemberDirectory,
-        peers: PeerChannel,
-        control: GroupControl,
-        promoter: Promoter,
-        writer: RecordWriter,
-        confirmation: Confirmation,
-        refresh_members: Callable[[], Awaitable[None]],
+        collaborators: ChangeCollaborators,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.group = group
-        self.duty = duty
-        self.directory = directory
-        self.leadership = leadership
-        self.members = members
-        self.peers = peers
-        self.control = control
-        self.promoter = promoter
-        self.writer = writer
-        self.confirmation = confirmation
-        self.refresh_members = refresh_members
+        self.duty = collaborators.duty
+        self.directory = collaborators.directory
+        self.leadership = collaborators.leadership
+        self.members = collaborators.members
+        self.peers = collaborators.peers
+        self.control = collaborators.control
+        self.promoter = collaborators.promoter
+        self.writer = collaborators.writer
+        self.confirmation = collaborators.confirmation
+        self.refresh_members = collaborators.refresh_members
         self.clock = clock
         self.acknowledged = LogPosition()
         self.everyone_answered = False
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -8,17 +8,9 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import EndpointError, PeerError, RosemarywardError
-from rosemaryward.decisions.gateway.directory import EndpointDirectory
-from rosemaryward.decisions.leadership.change import PrimaryChange, RecordWriter
-from rosemaryward.decisions.leadership.control import GroupControl
-from rosemaryward.decisions.leadership.duty import FailoverDuty
-from rosemaryward.decisions.leadership.members import (
-    MemberDirectory,
-    MemberRecord,
-    PeerChannel,
-    ReachRequest,
-)
-from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.leadership.change import ChangeCollaborators, PrimaryChange
+from rosemaryward.decisions.leadership.members import MemberRecord, ReachRequest
+from rosemaryward.decisions.leadership.records import GroupRecord
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["GroupSupervisor"]
@@ -42,40 +34,25 @@
     Parameters
     ----------
     group : str
-    duty : FailoverDuty
-    directory : EndpointDirectory
-    leadership : Leadership
-    members : MemberDirectory
-    peers : PeerChannel
-    control : GroupControl
-    writer : RecordWriter
-    new_change : callable
-        Returns a `PrimaryChange` of the group.
+    collaborators : ChangeCollaborators
     clock : callable, optional
     """
 
-    def __init__(  # noqa: PLR0913
+    def __init__(
         self,
         group: str,
-        duty: FailoverDuty,
-        directory: EndpointDirectory,
-        leadership: Leadership,
-        members: MemberDirectory,
-        peers: PeerChannel,
-        control: GroupControl,
-        writer: RecordWriter,
-        new_change: Callable[[str], PrimaryChange],
+        collaborators: ChangeCollaborators,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.group = group
-        self.duty = duty
-        self.directory = directory
-        self.leadership = leadership
-        self.members = members
-        self.peers = peers
-        self.control = control
-        self.writer = writer
-        self.new_change = new_change
+        self.collaborators = collaborators
+        self.duty = collaborators.duty
+        self.directory = collaborators.directory
+        self.leadership = collaborators.leadership
+        self.members = collaborators.members
+        self.peers = collaborators.peers
+        self.control = collaborators.control
+        self.writer = collaborators.writer
         self.clock = clock
         self.watched = 0
         self.watched_since = 0.0
@@ -104,7 +81,8 @@
             return
         reason = await self._reason(record)
         if reason and self.duty.is_held():
-            await self.new_change(self.group).run(reason, reason == SILENT)
+            change = PrimaryChange(self.group, self.collaborators, self.clock)
+            await change.run(reason, reason == SILENT)
 
     def _track(self) -> None:
         """Note since when the present primary leads."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -12,7 +12,7 @@
     make_endpoint,
     make_record,
 )
-from rosemaryward.decisions.leadership.change import PrimaryChange
+from rosemaryward.decisions.leadership.change import ChangeCollaborators, PrimaryChange
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.control import EndpointStatus
 from rosemaryward.decisions.leadership.members import (
@@ -175,20 +175,22 @@
         self.duty = Duty()
         self.confirmation = Confirmation("inc-proxy-1", self.leadership, self.peers)
 
-    async def run(self, reason="test"):
-        change = PrimaryChange(
-            GROUP,
-            self.duty,
-            self.directory,
-            self.leadership,
-            self.members,
-            self.peers,
-            self.control,
-            self.promoter,
-            self.writer,
-            self.confirmation,
-            self._refresh,
+    def collaborators(self):
+        return ChangeCollaborators(
+            duty=self.duty,
+            directory=self.directory,
+            leadership=self.leadership,
+            members=self.members,
+            peers=self.peers,
+            control=self.control,
+            promoter=self.promoter,
+            writer=self.writer,
+            confirmation=self.confirmation,
+            refresh_members=self._refresh,
         )
+
+    async def run(self, reason="test"):
+        change = PrimaryChange(GROUP, self.collaborators())
         await change.run(reason)
         return change
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -1,7 +1,6 @@
 """Proxy process on the users' platform: wires the adapter and the decisions."""
 
 import secrets
-from collections.abc import Callable
 from pathlib import Path
 
 import anyio
@@ -10,19 +9,16 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import (
-    ConflictError,
-    DocumentError,
     EndpointError,
     PeerError,
     SettingsError,
-    StoreError,
 )
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
 from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.gateway.execution import Executor
 from rosemaryward.decisions.gateway.session import CallerSession
 from rosemaryward.decisions.gateway.targets import TargetSelector
-from rosemaryward.decisions.leadership.change import PrimaryChange
+from rosemaryward.decisions.leadership.change import ChangeCollaborators
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.duty import DutyRecord, FailoverDuty
 from rosemaryward.decisions.leadership.members import (
@@ -40,10 +36,6 @@
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.supervisor import GroupSupervisor
 from rosemaryward.decisions.mirror import (
-    LeaseLostError,
-    LeaseStore,
-    Listing,
-    Mark,
     StoredValue,
     StoreMirror,
 )
@@ -61,22 +53,21 @@
 from rosemaryward.platform.readiness import HttpAnswers
 from rosemaryward.platform.settings import HostSettings, read_settings
 from rosemaryward.platform.store import PlatformStore
+from rosemaryward.proxy.platform_keys import (
+    AGREED_PREFIX,
+    ALIVE_PREFIX,
+    DUTY_KEY,
+    GROUP_PREFIX,
+    MEMBER_PREFIX,
+    GroupRecordWriter,
+    RecordSubscriber,
+)
+from rosemaryward.proxy.platform_registration import Registration
 from rosemaryward.proxy.statement_log import StatementLog
 
 __all__ = ["PlatformNode"]
 
-AGREED_PREFIX = "rosemaryward/"  # read at a fixed interval, so it stays small
-MEMBER_PREFIX = AGREED_PREFIX + "members/"
-GROUP_PREFIX = AGREED_PREFIX + "groups/"
-DUTY_KEY = "rosemaryward-duty"
-ALIVE_PREFIX = AGREED_PREFIX + "alive/"
-
-ALIVE_LEASE_S = 3.0
-ALIVE_RENEWAL_S = 1.0
-FORGET_AFTER_S = 60.0
-FORGET_INTERVAL_S = 5.0
 UNREADY_AFTER_S = 2.0  # left of a confirmation; the balancer needs two misses
-RETRY_PAUSE_S = 0.3
 SWEEP_INTERVAL_S = 0.25
 SETTINGS_POLL_S = 1.0
 PATIENCE_LIMIT_S = 0.3
@@ -93,62 +84,6 @@
 log = structlog.get_logger(__name__)
 
 
-class RecordSubscriber:
-    """Hands the decoded values of one prefix to a consumer.
-
-    Parameters
-    ----------
-    prefix : str
-    written, removed : callable
-        Called with the key without its prefix; `written` also with the value.
-    """
-
-    def __init__(
-        self,
-        prefix: str,
-        written: Callable[[str, StoredValue], None],
-        removed: Callable[[str], None],
-    ) -> None:
-        self.prefix = prefix
-        self.on_written = written
-        self.on_removed = removed
-
-    def written(self, stored: StoredValue) -> None:
-        """Take over a value; one that cannot be read is logged and left out."""
-        name = stored.key.removeprefix(self.prefix)
-        try:
-            self.on_written(name, stored)
-        except (DocumentError, msgspec.DecodeError) as error:
-            log.warning(
-                "unreadable entry",
-                key=stored.key,
-                revision=stored.revision,
-                error=str(error),
-            )
-            self.on_removed(name)
-
-    def removed(self, key: str) -> None:
-        """Forget a value."""
-        self.on_removed(key.removeprefix(self.prefix))
-
-
-class GroupRecordWriter:
-    """Writes group records to the store.
-
-    Parameters
-    ----------
-    store : LeaseStore
-    """
-
-    def __init__(self, store: LeaseStore) -> None:
-        self.store = store
-
-    async def write(self, group: str, record: GroupRecord, expected: int) -> int:
-        """Return the new revision; raises `ConflictError` and `StoreError`."""
-        value = msgspec.json.encode(record)
-        return await self.store.write(GROUP_PREFIX + group, value, expected)
-
-
 class PlatformNode:
     """One proxy on the users' platform.
 
@@ -190,15 +125,23 @@
             self._ask_release,
         )
         self.confirmation = Confirmation(self.incarnation, self.leadership, self.peers)
+        self.registration = Registration(
+            MemberRecord(settings.name, settings.peer_address, self.incarnation),
+            self.store,
+            self.members,
+            self.duty,
+            self.confirmation,
+        )
         self.mirror = StoreMirror(
-            self.store, self._subscribers(), AGREED_PREFIX, self._note_read
+            self.store,
+            self._subscribers(),
+            AGREED_PREFIX,
+            self.registration.note_read,
         )
         self.sessions: set[CallerSession] = set()
         self.session_ended = anyio.Event()
         self.supervised: set[str] = set()
         self.draining = False
-        self.alive_lease = 0
-        self.first_lease = 0  # not bound to a key yet
 
     def _subscribers(self) -> dict[str, RecordSubscriber]:
         subscribers = [
@@ -208,7 +151,9 @@
             RecordSubscriber(
                 REGISTRATION_PREFIX, self._observe_endpoint, self.directory.lose
             ),
-            RecordSubscriber(MEMBER_PREFIX, self._observe_member, self.members.lose),
+            RecordSubscriber(
+                MEMBER_PREFIX, self.registration.observe, self.members.lose
+            ),
             RecordSubscriber(
                 ALIVE_PREFIX,
                 lambda name, stored: self.members.note_alive(name),
@@ -234,7 +179,7 @@
                 self.mirror.run,
                 self._register,
                 self._hold_duty,
-                self._forget,
+                self.registration.forget,
                 self.confirmation.run,
                 self._sweep,
                 self._supervise,
@@ -280,7 +225,7 @@
             session.end(abandon_transaction=True)
         await self._wait_for_sessions(started_at + grace_s - EXIT_MARGIN_S)
         with anyio.move_on_after(EXIT_MARGIN_S / 2):
-            await self._unregister()
+            await self.registration.end()
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
 
     async def _wait_for_sessions(self, until: float) -> None:
@@ -417,40 +362,6 @@
             decode_endpoint(stored.key, stored.value, self.settings.regions)
         )
 
-    def _observe_member(self, name: str, stored: StoredValue) -> None:
-        record = msgspec.json.decode(stored.value, type=MemberRecord)
-        self.members.observe(record, stored.revision)
-
-    def _note_read(self, sent_at: float, listing: Listing) -> None:
-        """Confirm the records if the read shows this process as a living member."""
-        members = []
-        alive = {
-            stored.key.removeprefix(ALIVE_PREFIX): stored.value.decode()
-            for stored in listing.values
-            if stored.key.startswith(ALIVE_PREFIX)
-        }
-        for stored in listing.values:
-            if not stored.key.startswith(MEMBER_PREFIX):
-                continue
-            try:
-                record = msgspec.json.decode(stored.value, type=MemberRecord)
-            except msgspec.DecodeError as error:
-                log.warning("unreadable member", key=stored.key, error=str(error))
-                continue
-            if alive.get(record.name) == record.incarnation:
-                members.append(record)
-        self.confirmation.note_read(sent_at, members)
-
-    async def _refresh_members(self) -> None:
-        """Read the members from the store; raises `StoreError`."""
-        listing = await self.store.list(AGREED_PREFIX)
-        for stored in listing.values:
-            if stored.key.startswith(MEMBER_PREFIX):
-                self._observe_member(stored.key, stored)
-        for stored in listing.values:
-            if stored.key.startswith(ALIVE_PREFIX):
-                self.members.note_alive(stored.key.removeprefix(ALIVE_PREFIX))
-
     def _observe_group(self, name: str, stored: StoredValue) -> None:
         record = msgspec.json.decode(stored.value, type=GroupRecord)
         self.leadership.observe(name, record, stored.revision)
@@ -468,82 +379,7 @@
     # Tasks
 
     async def _register(self) -> None:
-        """Keep this proxy registered and its lease alive."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._take_first_lease)
-            await self.mirror.loaded.wait()
-        while True:
-            pause_s = ALIVE_RENEWAL_S
-            try:
-                await self._renew_registration()
-            except LeaseLostError:
-                log.warning("lease lost", lease=self.alive_lease)
-                self.alive_lease = 0
-                pause_s = RETRY_PAUSE_S
-            except ConflictError as error:
-                log.info("registration changed meanwhile", error=str(error))
-                pause_s = RETRY_PAUSE_S
-            except StoreError as error:
-                log.info("registration unanswered", error=str(error))
-                pause_s = RETRY_PAUSE_S
-            await anyio.sleep(pause_s)
-
-    async def _renew_registration(self) -> None:
-        """Renew the lease; register and take a lease where there is none.
-
-        Raises
-        ------
-        StoreError
-        """
-        name = self.settings.name
-        record = MemberRecord(name, self.settings.peer_address, self.incarnation)
-        if self.alive_lease and self.members.members.get(name) == record:
-            await self.store.renew_lease(self.alive_lease)
-            return
-        lease = self.first_lease or await self.store.grant_lease(ALIVE_LEASE_S)
-        self.first_lease = 0
-        revision = await self.store.register(
-            MEMBER_PREFIX + name,
-            msgspec.json.encode(record),
-            self.members.revisions.get(name, 0),
-            Mark(ALIVE_PREFIX + name, self.incarnation.encode(), lease),
-        )
-        self.members.observe(record, revision)
-        self.duty.note_registered()
-        self.alive_lease = lease
-        self.mirror.confirm_soon()
-
-    async def _take_first_lease(self) -> None:
-        """Take the lease while the mirror loads, so that a restart serves sooner."""
-        try:
-            self.first_lease = await self.store.grant_lease(ALIVE_LEASE_S)
-        except StoreError as error:
-            log.info("no lease yet", error=str(error))
-
-    async def _unregister(self) -> None:
-        name = self.settings.name
-        try:
-            await self.store.delete(
-                MEMBER_PREFIX + name, self.members.revisions.get(name, 0)
-            )
-            await self.store.end_lease(self.alive_lease)
-        except StoreError as error:
-            log.info("registration not removed", error=str(error))
-
-    async def _forget(self) -> None:
-        """Remove registrations of members long gone, while holding the duty."""
-        while True:
-            await anyio.sleep(FORGET_INTERVAL_S)
-            if not self.duty.is_held():
-                continue
-            for name, since in list(self.members.absent_since.items()):
-                if boot_time_s() - since < FORGET_AFTER_S:
-                    continue
-                revision = self.members.revisions[name]
-                try:
-                    await self.store.delete(MEMBER_PREFIX + name, revision)
-                except StoreError as error:
-                    log.info("member not forgotten", member=name, error=str(error))
+        await self.registration.run(self.mirror)
 
     async def _hold_duty(self) -> None:
         await self.mirror.loaded.wait()
@@ -569,32 +405,19 @@
                 await anyio.sleep(SWEEP_INTERVAL_S)
 
     def _supervisor(self, group: str) -> GroupSupervisor:
-        return GroupSupervisor(
-            group,
-            self.duty,
-            self.directory,
-            self.leadership,
-            self.members,
-            self.peers,
-            self.control,
-            self.writer,
-            self._new_change,
-        )
-
-    def _new_change(self, group: str) -> PrimaryChange:
-        return PrimaryChange(
-            group,
-            self.duty,
-            self.directory,
-            self.leadership,
-            self.members,
-            self.peers,
-            self.control,
-            self.promoter,
-            self.writer,
-            self.confirmation,
-            self._refresh_members,
+        collaborators = ChangeCollaborators(
+            duty=self.duty,
+            directory=self.directory,
+            leadership=self.leadership,
+            members=self.members,
+            peers=self.peers,
+            control=self.control,
+            promoter=self.promoter,
+            writer=self.writer,
+            confirmation=self.confirmation,
+            refresh_members=self.registration.refresh,
         )
+        return GroupSupervisor(group, collaborators)
 
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes without a signal."""
