Compose the platform's statement words in the adapter alone

Cause: the gateway wrote the words of the users' line protocol itself (BEGIN, ROLLBACK, SET, PREPARE, RESET, EXECUTE, control statements by text), and the composition root named the readiness path and the settings variable, so names of the platform stood outside platform/. Ruled out: constants shared with the adapter, which would only move the words. Change: connections offer typed operations; the adapter composes each message once.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -1,7 +1,7 @@
 """Connections to one endpoint, shared by the sessions of a proxy."""
 
 import contextlib
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -16,7 +16,11 @@
     Failure,
     UnansweredError,
 )
-from rosemaryward.decisions.gateway.statements import PreparedStatement
+from rosemaryward.decisions.gateway.statements import (
+    ControlStatement,
+    PreparedStatement,
+    Statement,
+)
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["Connection", "Connector", "EndpointPool", "PooledConnection"]
@@ -27,18 +31,47 @@
 SILENCE_S = 0.3  # longer than most statements run
 RETURN_WAIT_S = 0.15  # for a connection of this proxy when no more are accepted
 LIMIT_PAUSE_S = 0.1
-OWN_REQUEST_ID = "-"  # marks statements of the proxy itself
 
 log = structlog.get_logger(__name__)
 
 
 class Connection(Protocol):
-    """Open connection to an endpoint; one statement at a time."""
+    """Open connection to an endpoint; one statement at a time.
+
+    Every method but `aclose` raises `UnansweredError` if no whole answer comes.
+    """
 
     async def execute(
-        self, request_id: str, text: str, since: LogPosition | None = None
+        self, statement: Statement, prepared_name: str, since: LogPosition | None
     ) -> Answer:
-        """Run a statement; raises `UnansweredError` if no whole answer comes."""
+        """Run a caller's statement.
+
+        Parameters
+        ----------
+        statement : Statement
+        prepared_name : str
+            Name at the endpoint of the prepared statement that it executes.
+        since : LogPosition, optional
+            Position that the endpoint must have applied.
+        """
+
+    async def begin(self, read_only: bool, since: LogPosition | None) -> Answer:
+        """Begin a transaction."""
+
+    async def roll_back(self) -> Answer:
+        """Roll a transaction back."""
+
+    async def set_value(self, name: str, value: str) -> Answer:
+        """Set a session value."""
+
+    async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
+        """Prepare a statement under a name."""
+
+    async def reset(self) -> Answer:
+        """Clear session values and prepared statements."""
+
+    async def ask(self, control: ControlStatement) -> Answer:
+        """Run a control statement."""
 
     async def aclose(self) -> None:
         """Close at once."""
@@ -78,13 +111,27 @@
         self.idle_since = 0.0
 
     async def execute(
-        self, request_id: str, text: str, since: LogPosition | None = None
+        self,
+        statement: Statement,
+        prepared_name: str,
+        since: LogPosition | None = None,
     ) -> Answer:
-        """Run a statement; raises `UnansweredError` if no whole answer comes."""
-        self.broken = True
-        answer = await self.connection.execute(request_id, text, since)
-        self.broken = False
-        return answer
+        """Run a caller's statement; raises `UnansweredError`."""
+        return await self._receive(
+            self.connection.execute(statement, prepared_name, since)
+        )
+
+    async def begin(self, read_only: bool, since: LogPosition | None) -> Answer:
+        """Begin a transaction; raises `UnansweredError`."""
+        return await self._receive(self.connection.begin(read_only, since))
+
+    async def roll_back(self) -> Answer:
+        """Roll a transaction back; raises `UnansweredError`."""
+        return await self._receive(self.connection.roll_back())
+
+    async def ask(self, control: ControlStatement) -> Answer:
+        """Run a control statement; raises `UnansweredError`."""
+        return await self._receive(self.connection.ask(control))
 
     async def adopt(self, values: dict[str, str]) -> None:
         """Make the connection's values those of a session.
@@ -95,12 +142,12 @@
             If the endpoint does not confirm them; the connection is unusable.
         """
         if any(name not in values for name in self.values):
-            await self._own("RESET")
+            await self._confirm(self.connection.reset())
             self.values = {}
             self.prepared = set()
         for name, value in values.items():
             if self.values.get(name) != value:
-                await self._own(f"SET {name} {value}")
+                await self._confirm(self.connection.set_value(name, value))
                 self.values[name] = value
 
     async def prepare(self, prepared: PreparedStatement) -> str:
@@ -111,18 +158,24 @@
         UnansweredError
             If the endpoint does not confirm it; the connection is unusable.
         """
-        word = "WRITE" if prepared.writes else "READ"
-        name = f"{word[0].lower()}-{prepared.shape}"
+        name = f"{'w' if prepared.writes else 'r'}-{prepared.shape}"
         if name not in self.prepared:
-            await self._own(f"PREPARE {name} {word} {prepared.shape}")
+            await self._confirm(self.connection.prepare(name, prepared))
             self.prepared.add(name)
         return name
 
-    async def _own(self, text: str) -> None:
-        answer = await self.execute(OWN_REQUEST_ID, text)
-        if answer.failure is not None:
+    async def _receive(self, answer: Awaitable[Answer]) -> Answer:
+        """Await an answer; without a whole one the connection is unusable."""
+        self.broken = True
+        received = await answer
+        self.broken = False
+        return received
+
+    async def _confirm(self, answer: Awaitable[Answer]) -> None:
+        received = await self._receive(answer)
+        if received.failure is not None:
             self.broken = True
-            raise UnansweredError(f"{text.split()[0]} failed: {answer.reason}")
+            raise UnansweredError(f"session context refused: {received.reason}")
 
 
 class EndpointPool:
@@ -277,7 +330,7 @@
         finally:
             self.give_back(pooled)
 
-    async def probe(self, text: str, timeout_s: float) -> Answer:
+    async def probe(self, control: ControlStatement, timeout_s: float) -> Answer:
         """Run a control statement of the proxy.
 
         Raises
@@ -287,9 +340,11 @@
         async with self.connection(timeout_s) as pooled:
             try:
                 with anyio.fail_after(timeout_s):
-                    answer = await pooled.execute(OWN_REQUEST_ID, text)
+                    answer = await pooled.ask(control)
             except TimeoutError:
-                raise UnansweredError(f"{text}: no answer in {timeout_s} s") from None
+                raise UnansweredError(
+                    f"{control.kind.name}: no answer in {timeout_s} s"
+                ) from None
         self.note_answer(answer)
         return answer
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -301,14 +301,12 @@
         sent_at = now
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
-                text = await self.prepare(request.statement, session, pooled)
+                name = await self.prepare(request.statement, session, pooled)
                 self._check_still_primary(request, target)
                 sent = True
                 sent_at = self.clock()
                 with self.writing(request.route.group, writes):
-                    answer = await pooled.execute(
-                        request.statement.request_id, text, target.since
-                    )
+                    answer = await pooled.execute(request.statement, name, target.since)
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {attempt_s:.3f} s"
             pool.note_unanswered(sent_at, error, reason)
@@ -325,7 +323,12 @@
     async def prepare(
         self, statement: Statement, session: SessionContext, pooled: PooledConnection
     ) -> str:
-        """Give the connection the session's context; return the text to send.
+        """Give the connection the session's context.
+
+        Returns
+        -------
+        str
+            Name at the endpoint of the prepared statement, empty for others.
 
         Raises
         ------
@@ -333,9 +336,8 @@
         """
         await pooled.adopt(session.values)
         if statement.kind is not StatementKind.EXECUTE:
-            return statement.text
-        name = await pooled.prepare(session.prepared[statement.name])
-        return f"EXECUTE {name} {statement.argument}"
+            return ""
+        return await pooled.prepare(session.prepared[statement.name])
 
     def writing(
         self, group: str, writes: bool
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-__all__ = ["Statement", "StatementKind", "PreparedStatement"]
+__all__ = [
+    "ControlKind",
+    "ControlStatement",
+    "PreparedStatement",
+    "Statement",
+    "StatementKind",
+]
 
 
 class StatementKind(Enum):
@@ -23,6 +29,29 @@
     UNREADABLE = auto()
 
 
+class ControlKind(Enum):
+    """What the proxy asks of an endpoint beside callers' statements."""
+
+    STATUS = auto()
+    HOLD = auto()
+    RELEASE = auto()
+    DEMOTE = auto()
+
+
+class ControlStatement(msgspec.Struct, frozen=True):
+    """Control statement of the proxy.
+
+    Parameters
+    ----------
+    kind : ControlKind
+    term : int
+        Term that `HOLD` and `DEMOTE` name.
+    """
+
+    kind: ControlKind
+    term: int = 0
+
+
 class PreparedStatement(msgspec.Struct, frozen=True):
     """A statement that a caller prepared.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -69,7 +69,29 @@
         self.state = IDLE
         self.closed = False
 
-    async def execute(self, request_id, text, since=None):
+    async def execute(self, statement, prepared_name="", since=None):
+        text = statement.text
+        if statement.kind is StatementKind.EXECUTE:
+            text = f"EXECUTE {prepared_name} {statement.argument}"
+        return await self._query(statement.request_id, text, since)
+
+    async def begin(self, read_only, since=None):
+        return await self._query("-", "BEGIN READ" if read_only else "BEGIN", since)
+
+    async def roll_back(self):
+        return await self._query("-", "ROLLBACK")
+
+    async def set_value(self, name, value):
+        return await self._query("-", f"SET {name} {value}")
+
+    async def prepare(self, name, prepared):
+        access = "WRITE" if prepared.writes else "READ"
+        return await self._query("-", f"PREPARE {name} {access} {prepared.shape}")
+
+    async def reset(self):
+        return await self._query("-", "RESET")
+
+    async def _query(self, request_id, text, since=None):
         instance = self.instance
         await anyio.lowlevel.checkpoint()
         if self.closed:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -8,10 +8,7 @@
 import structlog
 
 from rosemaryward.decisions.errors import OverloadError
-from rosemaryward.decisions.gateway.connections import (
-    OWN_REQUEST_ID,
-    PooledConnection,
-)
+from rosemaryward.decisions.gateway.connections import PooledConnection
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.execution import (
     Attempts,
@@ -119,7 +116,7 @@
             try:
                 if not pooled.broken:
                     with anyio.fail_after(ROLLBACK_TIMEOUT_S):
-                        answer = await pooled.execute(OWN_REQUEST_ID, "ROLLBACK")
+                        answer = await pooled.roll_back()
                     pooled.broken = answer.state is not ConnectionState.IDLE
             except (UnansweredError, TimeoutError) as error:
                 # Closing the connection rolls back as well.
@@ -149,11 +146,11 @@
         try:
             async with self._slot(target, request):
                 with anyio.fail_after(left_s):
-                    text = await self.executor.prepare(statement, self.session, pooled)
+                    name = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
                     sent_at = self.executor.clock()
                     with self.executor.writing(self.route.group, commits):
-                        answer = await pooled.execute(statement.request_id, text)
+                        answer = await pooled.execute(statement, name)
         except OverloadError as error:
             raise StatementFailedError(
                 Failure.ROLLED_BACK, f"rolled back: {error}", self.endpoint
@@ -222,7 +219,6 @@
         self, request: StatementRequest, target: Target
     ) -> PooledConnection:
         """Open the transaction at an endpoint; raises `ConnectError`."""
-        text = "BEGIN READ" if self.read_only else "BEGIN"
         pool = target.pool
         left_s = max(request.expires_at - self.executor.clock(), 0.0)
         pooled = await pool.take(left_s)
@@ -232,7 +228,7 @@
                 await pooled.adopt(self.session.values)
                 self._check_still_primary(target)
                 sent_at = self.executor.clock()
-                answer = await pooled.execute(OWN_REQUEST_ID, text, target.since)
+                answer = await pooled.begin(self.read_only, target.since)
             self.executor.selector.record_answer(target, sent_at, answer)
             if answer.failure is not None:
                 raise ConnectError(answer.failure, f"BEGIN failed: {answer.reason}")
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -11,12 +11,11 @@
 
 from rosemaryward.decisions.errors import SettingsError
 from rosemaryward.operators.bounded_logs import configure_bounded
-from rosemaryward.platform.settings import read_settings
+from rosemaryward.platform.settings import SETTINGS_VARIABLE, read_settings
 from rosemaryward.proxy.platform_node import PlatformNode
 
 __all__ = ["main"]
 
-SETTINGS_VARIABLE = "ROSEMARYWARD_BOOT"
 EXIT_USAGE = 2
 
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -50,7 +50,7 @@
 )
 from rosemaryward.platform.instances import LineConnector, LineGroupControl
 from rosemaryward.platform.promotion import PlatformPromoter
-from rosemaryward.platform.readiness import HttpAnswers
+from rosemaryward.platform.readiness import READINESS_PATH, HttpAnswers
 from rosemaryward.platform.settings import HostSettings, read_settings
 from rosemaryward.platform.store import PlatformStore
 from rosemaryward.proxy.platform_keys import (
@@ -282,7 +282,7 @@
                 return STATUS_READY, b"ready\n"
             return STATUS_NOT_READY, b"not ready\n"
 
-        return HttpAnswers(self.settings.readiness_address, {"/ready": answer})
+        return HttpAnswers(self.settings.readiness_address, {READINESS_PATH: answer})
 
     def _metrics_page(self) -> HttpAnswers:
         def answer() -> tuple[int, bytes]:
