Share one retry loop between single statements and transactions

Cause: beginning a transaction repeated the loop that tries one endpoint after the other, with an error type of its own, and the check that a primary was not replaced. Ruled out: leaving the loops apart, since a fix to the hold time had to be made in both. Change: Executor.retry takes the attempt; both raise RetryError, which lost a field that nobody read. Tests keep their assertions.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -1,7 +1,8 @@
 """One statement outside of a transaction, from its target to its reply."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import anyio
 import msgspec
@@ -29,6 +30,7 @@
 __all__ = [
     "Attempts",
     "Executor",
+    "RetryError",
     "SessionContext",
     "StatementFailedError",
     "StatementRequest",
@@ -40,6 +42,8 @@
 RETRY_PAUSE_S = 0.02
 READ_ATTEMPT_SHARE = 0.5  # of the time left, so that a second endpoint can answer
 
+Outcome = TypeVar("Outcome")
+
 
 class SessionContext:
     """Values, prepared statements and newest commit of one session.
@@ -139,14 +143,18 @@
             self.waiting_since = offered_at
 
 
-class _RetryError(Exception):
-    """The statement did not run at an endpoint and may run elsewhere."""
+class RetryError(Exception):
+    """An endpoint did not serve a statement, and another one may.
 
-    def __init__(
-        self, failure: Failure, reason: str, offered_at: float | None = None
-    ) -> None:
+    Parameters
+    ----------
+    reason : str
+    offered_at : float, optional
+        When the endpoint failed the statement; None if it never got it.
+    """
+
+    def __init__(self, reason: str, offered_at: float | None = None) -> None:
         super().__init__(reason)
-        self.failure = failure
         self.reason = reason
         self.offered_at = offered_at
 
@@ -195,14 +203,45 @@
         self, request: StatementRequest, session: SessionContext
     ) -> tuple[Answer, Target]:
         """Run a single statement; raises `StatementFailedError`."""
+        return await self.retry(
+            request,
+            session,
+            lambda target: self._attempt(request, session, target),
+        )
+
+    async def retry(
+        self,
+        request: StatementRequest,
+        session: SessionContext,
+        attempt: Callable[[Target], Awaitable[Outcome]],
+    ) -> tuple[Outcome, Target]:
+        """Try one endpoint after the other.
+
+        Parameters
+        ----------
+        request : StatementRequest
+        session : SessionContext
+        attempt : callable
+            Tries a target; raises `RetryError` if another one may be tried.
+
+        Returns
+        -------
+        outcome
+            What the attempt returned.
+        target : Target
+
+        Raises
+        ------
+        StatementFailedError
+        """
         attempts = Attempts(self.clock())
         while True:
             target = await self.wait_for_target(request, session, attempts)
             endpoint = target.pool.endpoint.id
             session.target = target
             try:
-                return await self._attempt(request, session, target), target
-            except _RetryError as error:
+                return await attempt(target), target
+            except RetryError as error:
                 self.attempt_failed(
                     request.statement, request.route, endpoint, error.reason
                 )
@@ -275,7 +314,7 @@
                 Failure.BUSY, f"not run: {error}", pool.endpoint.id
             ) from error
         except ConnectError as error:
-            raise _RetryError(error.failure, error.reason) from error
+            raise RetryError(error.reason) from error
 
     async def execute(
         self,
@@ -288,7 +327,7 @@
 
         Raises
         ------
-        _RetryError
+        RetryError
             If it certainly did not run, or if it only reads.
         StatementFailedError
         """
@@ -302,7 +341,7 @@
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
                 name = await self.prepare(request.statement, session, pooled)
-                self._check_still_primary(request, target)
+                self.check_still_primary(request.route.group, target)
                 sent = True
                 sent_at = self.clock()
                 with self.writing(request.route.group, writes):
@@ -315,8 +354,8 @@
                     Failure.IN_DOUBT, reason, pool.endpoint.id
                 ) from error
             if not sent:
-                raise _RetryError(Failure.BUSY, reason) from error
-            raise _RetryError(Failure.TIMED_OUT, reason, self.clock()) from error
+                raise RetryError(reason) from error
+            raise RetryError(reason, self.clock()) from error
         self.selector.record_answer(target, sent_at, answer)
         return self._check(request, target, answer)
 
@@ -347,12 +386,17 @@
             return contextlib.nullcontext()
         return self.selector.leadership.write(group)
 
-    def _check_still_primary(self, request: StatementRequest, target: Target) -> None:
-        """Refuse to use a primary that was replaced while the statement waited."""
+    def check_still_primary(self, group: str, target: Target) -> None:
+        """Refuse to use a primary that was replaced while a statement waited.
+
+        Raises
+        ------
+        RetryError
+        """
         if target.record is None:
             return
-        if self.selector.leadership.primary(request.route.group) != target.record:
-            raise _RetryError(Failure.NOT_PRIMARY, "the primary is being changed")
+        if self.selector.leadership.primary(group) != target.record:
+            raise RetryError("the primary is being changed")
 
     def _check(
         self, request: StatementRequest, target: Target, answer: Answer
@@ -364,9 +408,9 @@
                 self.acknowledge(request.route.group, target, answer.position)
             return answer
         if failure in NOT_RUN:
-            raise _RetryError(failure, f"{failure.name} {answer.reason}")
+            raise RetryError(f"{failure.name} {answer.reason}")
         if not request.writes:
-            raise _RetryError(failure, f"{failure.name} {answer.reason}", self.clock())
+            raise RetryError(f"{failure.name} {answer.reason}", self.clock())
         raise StatementFailedError(failure, answer.reason, endpoint)
 
     def acknowledge(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -11,8 +11,8 @@
 from rosemaryward.decisions.gateway.connections import PooledConnection
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.execution import (
-    Attempts,
     Executor,
+    RetryError,
     SessionContext,
     StatementFailedError,
     StatementRequest,
@@ -195,56 +195,36 @@
         StatementFailedError
             If no endpoint could be used; a later statement may try again.
         """
-        attempts = Attempts(self.executor.clock())
-        while True:
-            target = await self.executor.wait_for_target(
-                request, self.session, attempts
-            )
-            try:
-                self.pooled = await self._begin(request, target)
-                self.target = target
-                return
-            except ConnectError as error:
-                endpoint = target.pool.endpoint.id
-                self.executor.attempt_failed(
-                    request.statement, self.route, endpoint, error.reason
-                )
-                attempts.note(endpoint, None)
-                if self.executor.clock() >= request.expires_at:
-                    raise StatementFailedError(
-                        Failure.BUSY, error.reason, endpoint
-                    ) from error
+        self.pooled, self.target = await self.executor.retry(
+            request, self.session, lambda target: self._begin(request, target)
+        )
 
     async def _begin(
         self, request: StatementRequest, target: Target
     ) -> PooledConnection:
-        """Open the transaction at an endpoint; raises `ConnectError`."""
+        """Open the transaction at an endpoint; raises `RetryError`."""
         pool = target.pool
         left_s = max(request.expires_at - self.executor.clock(), 0.0)
-        pooled = await pool.take(left_s)
         try:
-            sent_at = self.executor.clock()
+            pooled = await pool.take(left_s)
+        except ConnectError as error:
+            raise RetryError(error.reason) from error
+        sent_at = self.executor.clock()
+        try:
             with anyio.fail_after(left_s):
                 await pooled.adopt(self.session.values)
-                self._check_still_primary(target)
+                self.executor.check_still_primary(self.route.group, target)
                 sent_at = self.executor.clock()
                 answer = await pooled.begin(self.read_only, target.since)
             self.executor.selector.record_answer(target, sent_at, answer)
             if answer.failure is not None:
-                raise ConnectError(answer.failure, f"BEGIN failed: {answer.reason}")
+                raise RetryError(f"BEGIN failed: {answer.reason}")
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {left_s:.3f} s"
             pool.note_unanswered(sent_at, error, reason)
             pool.give_back(pooled)
-            raise ConnectError(Failure.BUSY, reason) from error
+            raise RetryError(reason) from error
         except BaseException:
             pool.give_back(pooled)
             raise
         return pooled
-
-    def _check_still_primary(self, target: Target) -> None:
-        if target.record is None:
-            return
-        leadership = self.executor.selector.leadership
-        if leadership.primary(self.route.group) != target.record:
-            raise ConnectError(Failure.NOT_PRIMARY, "the primary is being changed")
