--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/freshness/samples.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/freshness/samples.py
@@ -1,12 +1,13 @@
 """Positions of a primary's log with the time by which they are complete."""
 
-from collections import deque
+import bisect
 
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["PositionSamples"]
 
 SPACING_S = 0.05  # samples closer than this add nothing that a reader could use
+SPREAD_AGES_S = (1.2, 0.6, 0.0)  # replicas most likely have the older positions
 KEPT_S = 30.0  # longest staleness bound that samples can serve
 
 
@@ -20,7 +21,7 @@
     __slots__ = ("newest", "samples")
 
     def __init__(self) -> None:
-        self.samples: deque[tuple[float, LogPosition]] = deque()
+        self.samples: list[tuple[float, LogPosition]] = []
         self.newest = LogPosition()
 
     def record(self, sent_at: float, position: LogPosition) -> None:
@@ -36,11 +37,13 @@
             return
         self.newest = max(self.newest, position)
         samples = self.samples
-        if samples and sent_at < samples[-1][0] + SPACING_S:
+        # A relay passes on samples that are older than some of the proxy's own.
+        place = bisect.bisect(samples, sent_at, key=_sent_at)
+        if place and sent_at < samples[place - 1][0] + SPACING_S:
             return
-        samples.append((sent_at, position))
-        while samples[0][0] < sent_at - KEPT_S:
-            samples.popleft()
+        samples.insert(place, (sent_at, position))
+        expired = bisect.bisect(samples, samples[-1][0] - KEPT_S, key=_sent_at)
+        del samples[:expired]
 
     def required(self, complete_until: float) -> LogPosition | None:
         """Return a position that includes all commits acknowledged until a time.
@@ -56,7 +59,32 @@
             The position of the oldest sample that is young enough, since that
             is the least that a replica must have; None if there is no sample.
         """
-        for sent_at, position in self.samples:
-            if sent_at >= complete_until:
-                return position
-        return None
+        sample = self._first(complete_until)
+        return None if sample is None else sample[1]
+
+    def spread(self, now: float) -> list[tuple[float, LogPosition]]:
+        """Return a few samples that other proxies can use for some time.
+
+        Parameters
+        ----------
+        now : float
+            Boot time in seconds.
+
+        Returns
+        -------
+        list of tuple of float and LogPosition
+        """
+        chosen: list[tuple[float, LogPosition]] = []
+        for age_s in SPREAD_AGES_S:
+            sample = self._first(now - age_s)
+            if sample is not None and sample not in chosen:
+                chosen.append(sample)
+        return chosen
+
+    def _first(self, complete_until: float) -> tuple[float, LogPosition] | None:
+        place = bisect.bisect_left(self.samples, complete_until, key=_sent_at)
+        return self.samples[place] if place < len(self.samples) else None
+
+
+def _sent_at(sample: tuple[float, LogPosition]) -> float:
+    return sample[0]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -14,12 +14,14 @@
     Answer,
     ConnectError,
     Failure,
+    RelayLostError,
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.statements import (
     ControlStatement,
     PreparedStatement,
     Statement,
+    Ticket,
 )
 from rosemaryward.decisions.types import LogPosition
 
@@ -38,11 +40,16 @@
 class Connection(Protocol):
     """Open connection to an endpoint; one statement at a time.
 
-    Every method but `aclose` raises `UnansweredError` if no whole answer comes.
+    Every method but `aclose` raises `UnansweredError` if no whole answer comes. One
+    through a relay also raises `ConnectError` if a statement was certainly not run.
     """
 
     async def execute(
-        self, statement: Statement, prepared_name: str, since: LogPosition | None
+        self,
+        statement: Statement,
+        prepared_name: str,
+        since: LogPosition | None,
+        ticket: Ticket | None,
     ) -> Answer:
         """Run a caller's statement.
 
@@ -53,9 +60,13 @@
             Name at the endpoint of the prepared statement that it executes.
         since : LogPosition, optional
             Position that the endpoint must have applied.
+        ticket : Ticket, optional
+            Orders it at a relay; a direct connection does not need it.
         """
 
-    async def begin(self, read_only: bool, since: LogPosition | None) -> Answer:
+    async def begin(
+        self, read_only: bool, since: LogPosition | None, ticket: Ticket | None
+    ) -> Answer:
         """Begin a transaction."""
 
     async def roll_back(self) -> Answer:
@@ -115,15 +126,21 @@
         statement: Statement,
         prepared_name: str,
         since: LogPosition | None = None,
+        ticket: Ticket | None = None,
     ) -> Answer:
-        """Run a caller's statement; raises `UnansweredError`."""
+        """Run a caller's statement; raises `UnansweredError` and `ConnectError`."""
         return await self._receive(
-            self.connection.execute(statement, prepared_name, since)
+            self.connection.execute(statement, prepared_name, since, ticket)
         )
 
-    async def begin(self, read_only: bool, since: LogPosition | None) -> Answer:
-        """Begin a transaction; raises `UnansweredError`."""
-        return await self._receive(self.connection.begin(read_only, since))
+    async def begin(
+        self,
+        read_only: bool,
+        since: LogPosition | None,
+        ticket: Ticket | None = None,
+    ) -> Answer:
+        """Begin a transaction; raises `UnansweredError` and `ConnectError`."""
+        return await self._receive(self.connection.begin(read_only, since, ticket))
 
     async def roll_back(self) -> Answer:
         """Roll a transaction back; raises `UnansweredError`."""
@@ -249,7 +266,7 @@
         An endpoint that has answered other statements since then lost one answer, and
         one that had little time for its answer may be slow; neither is avoided.
         """
-        if self.answered_at >= sent_at:
+        if self.answered_at >= sent_at or isinstance(error, RelayLostError):
             return
         if isinstance(error, TimeoutError) and self.clock() < sent_at + SILENCE_S:
             return
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -23,6 +23,7 @@
     PreparedStatement,
     Statement,
     StatementKind,
+    Ticket,
 )
 from rosemaryward.decisions.gateway.targets import Target, TargetSelector
 from rosemaryward.decisions.types import LogPosition, Rank
@@ -300,6 +301,18 @@
         left_s = max(request.expires_at - self.clock(), 0.0)
         return pool.queue.slot(rank, session.caller, request.route.database, left_s)
 
+    def ticket(
+        self,
+        request: StatementRequest,
+        session: SessionContext,
+        target: Target,
+        left_s: float,
+    ) -> Ticket:
+        """Return what orders a statement at a relay for the time that it has left."""
+        route = request.route
+        epoch = 0 if target.record is None else target.record.epoch
+        return Ticket(route.rank, session.caller, route.database, left_s, epoch)
+
     async def _attempt(
         self, request: StatementRequest, session: SessionContext, target: Target
     ) -> Answer:
@@ -344,8 +357,11 @@
                 self.check_still_primary(request.route.group, target)
                 sent = True
                 sent_at = self.clock()
+                ticket = self.ticket(request, session, target, attempt_s)
                 with self.writing(request.route.group, writes):
-                    answer = await pooled.execute(request.statement, name, target.since)
+                    answer = await pooled.execute(
+                        request.statement, name, target.since, ticket
+                    )
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer in {attempt_s:.3f} s"
             pool.note_unanswered(sent_at, error, reason)
@@ -407,6 +423,8 @@
             if request.writes:
                 self.acknowledge(request.route.group, target, answer.position)
             return answer
+        if failure is Failure.BEHIND:
+            raise RetryError(f"BEHIND at {answer.position}, needs {target.since}")
         if failure in NOT_RUN:
             raise RetryError(f"{failure.name} {answer.reason}")
         if not request.writes:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -13,6 +13,8 @@
     "ConnectError",
     "ConnectionState",
     "Failure",
+    "RelayLostError",
+    "RelayUnavailableError",
     "Reply",
     "UnansweredError",
 ]
@@ -57,7 +59,7 @@
     FAILED_TRANSACTION = auto()
 
 
-class Answer(msgspec.Struct, frozen=True):
+class Answer(msgspec.Struct, frozen=True, array_like=True):
     """Complete answer of an endpoint.
 
     Parameters
@@ -70,6 +72,9 @@
         Newest entry in the endpoint's log.
     failure : Failure, optional
     reason : str
+    samples : list of tuple of float and LogPosition
+        Positions of the primary's log that a relay has seen, each with the time by
+        which it is complete, in seconds since the statement was sent to the relay.
     """
 
     rows: list[str]
@@ -78,6 +83,7 @@
     position: LogPosition | None = None
     failure: Failure | None = None
     reason: str = ""
+    samples: list[tuple[float, LogPosition]] = []
 
 
 class Reply(msgspec.Struct, frozen=True):
@@ -118,3 +124,11 @@
 
 class UnansweredError(EndpointError):
     """A statement was sent and no complete answer came."""
+
+
+class RelayUnavailableError(ConnectError):
+    """The relay cannot be reached, which says nothing of the endpoint."""
+
+
+class RelayLostError(UnansweredError):
+    """The relay was lost with the statement, which says nothing of the endpoint."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -10,6 +10,7 @@
     "PreparedStatement",
     "Statement",
     "StatementKind",
+    "Ticket",
 ]
 
 
@@ -52,7 +53,7 @@
     term: int = 0
 
 
-class PreparedStatement(msgspec.Struct, frozen=True):
+class PreparedStatement(msgspec.Struct, frozen=True, array_like=True):
     """A statement that a caller prepared.
 
     Parameters
@@ -66,7 +67,7 @@
     shape: str
 
 
-class Statement(msgspec.Struct, frozen=True):
+class Statement(msgspec.Struct, frozen=True, array_like=True):
     """One request of a caller.
 
     Parameters
@@ -90,3 +91,25 @@
     name: str = ""
     argument: str = ""
     prepared: PreparedStatement | None = None
+
+
+class Ticket(msgspec.Struct, frozen=True, array_like=True):
+    """What orders a statement among those that wait at a relay.
+
+    Parameters
+    ----------
+    rank : int
+        0 is the most urgent.
+    caller, database : str
+        Served round robin within the rank.
+    left_s : float
+        Time until the answer is useless.
+    epoch : int
+        Epoch of the record that makes the endpoint the primary, 0 for a replica.
+    """
+
+    rank: int
+    caller: str
+    database: str
+    left_s: float
+    epoch: int = 0
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -21,6 +21,7 @@
 
 STALENESS_MARGIN_S = 0.02  # clocks of the sample and of the read are read apart
 BEHIND_PAUSE_S = 0.1
+BEHIND_LIMIT_S = 0.8  # a replica that stays behind costs a round trip each time
 
 
 class Target(msgspec.Struct, frozen=True):
@@ -50,6 +51,8 @@
     place : Place
         Where this proxy runs.
     clock : callable, optional
+    pool_of : callable, optional
+        Returns the pool through which statements reach an endpoint.
     """
 
     def __init__(
@@ -58,20 +61,23 @@
         leadership: Leadership,
         place: Place,
         clock: Callable[[], float] = boot_time_s,
+        pool_of: Callable[[str], EndpointPool | None] | None = None,
     ) -> None:
+        self.pool_of = pool_of or directory.pools.get
         self.directory = directory
         self.leadership = leadership
         self.place = place
         self.clock = clock
         self.samples: dict[str, PositionSamples] = {}
         self.behind_until: dict[str, float] = {}
+        self.behind_s: dict[str, float] = {}
 
     def primary(self, group: str) -> Target | None:
         """Return the primary, or None if none may be used now."""
         record = self.leadership.primary(group)
         if record is None:
             return None
-        pool = self.directory.pools.get(record.primary)
+        pool = self.pool_of(record.primary)
         if pool is None or pool.suspect:
             return None
         return Target(pool, record)
@@ -118,13 +124,24 @@
         """Learn from an answer: the endpoint lives, its position, its lag."""
         pool = target.pool
         pool.note_answer(answer)
-        if answer.failure is Failure.BEHIND:
-            self.behind_until[pool.endpoint.id] = self.clock() + BEHIND_PAUSE_S
+        self._note_behind(pool.endpoint.id, answer.failure is Failure.BEHIND)
         group = pool.endpoint.group
         if answer.position is None or target.record is None:
             return
-        if answer.failure is not Failure.NOT_PRIMARY:
-            self.group_samples(group).record(sent_at, answer.position)
+        if answer.failure is Failure.NOT_PRIMARY:
+            return
+        samples = self.group_samples(group)
+        for since_sent_s, position in answer.samples or [(0.0, answer.position)]:
+            samples.record(sent_at + since_sent_s, position)
+
+    def _note_behind(self, endpoint: str, behind: bool) -> None:
+        """Avoid a replica that is behind, for longer each time in succession."""
+        if not behind:
+            self.behind_s.pop(endpoint, None)
+            return
+        pause_s = min(self.behind_s.get(endpoint, BEHIND_PAUSE_S), BEHIND_LIMIT_S)
+        self.behind_s[endpoint] = pause_s * 2.0
+        self.behind_until[endpoint] = self.clock() + pause_s
 
     def group_samples(self, group: str) -> PositionSamples:
         """Return the samples of a group's primary."""
@@ -165,11 +182,13 @@
                 continue
             if record is not None and endpoint.id == record.primary:
                 continue
-            pool = self.directory.pools[endpoint.id]
-            if pool.suspect or self.behind_until.get(endpoint.id, now) > now:
+            pool = self.pool_of(endpoint.id)
+            if pool is None or pool.suspect:
+                continue
+            if self.behind_until.get(endpoint.id, now) > now:
                 continue
             busy = pool.queue.running >= pool.queue.limit
             candidates.append((busy, distance(endpoint.place, self.place), endpoint.id))
         if not candidates:
             return None
-        return self.directory.pools[min(candidates)[2]]
+        return self.pool_of(min(candidates)[2])
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -69,13 +69,13 @@
         self.state = IDLE
         self.closed = False
 
-    async def execute(self, statement, prepared_name="", since=None):
+    async def execute(self, statement, prepared_name="", since=None, ticket=None):
         text = statement.text
         if statement.kind is StatementKind.EXECUTE:
             text = f"EXECUTE {prepared_name} {statement.argument}"
         return await self._query(statement.request_id, text, since)
 
-    async def begin(self, read_only, since=None):
+    async def begin(self, read_only, since=None, ticket=None):
         return await self._query("-", "BEGIN READ" if read_only else "BEGIN", since)
 
     async def roll_back(self):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
@@ -193,8 +193,8 @@
         connection = await original(endpoint)
         execute = connection.execute
 
-        async def execute_and_change(statement, prepared_name, since=None):
-            answer = await execute(statement, prepared_name, since)
+        async def execute_and_change(statement, prepared_name, since, ticket):
+            answer = await execute(statement, prepared_name, since, ticket)
             fleet.leadership.observe(GROUP, make_record(2, "i-2"), 9)
             return answer
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -149,9 +149,10 @@
                     name = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
                     sent_at = self.executor.clock()
+                    ticket = self.executor.ticket(request, self.session, target, left_s)
                     with self.executor.writing(self.route.group, commits):
-                        answer = await pooled.execute(statement, name)
-        except OverloadError as error:
+                        answer = await pooled.execute(statement, name, None, ticket)
+        except (OverloadError, ConnectError) as error:
             raise StatementFailedError(
                 Failure.ROLLED_BACK, f"rolled back: {error}", self.endpoint
             ) from error
@@ -215,7 +216,8 @@
                 await pooled.adopt(self.session.values)
                 self.executor.check_still_primary(self.route.group, target)
                 sent_at = self.executor.clock()
-                answer = await pooled.begin(self.read_only, target.since)
+                ticket = self.executor.ticket(request, self.session, target, left_s)
+                answer = await pooled.begin(self.read_only, target.since, ticket)
             self.executor.selector.record_answer(target, sent_at, answer)
             if answer.failure is not None:
                 raise RetryError(f"BEGIN failed: {answer.reason}")
@@ -224,6 +226,9 @@
             pool.note_unanswered(sent_at, error, reason)
             pool.give_back(pooled)
             raise RetryError(reason) from error
+        except ConnectError as error:
+            pool.give_back(pooled)
+            raise RetryError(error.reason) from error
         except BaseException:
             pool.give_back(pooled)
             raise
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -21,6 +21,7 @@
     MemberDirectory,
     MemberRecord,
     PeerChannel,
+    RecordNotice,
 )
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_S,
@@ -369,7 +370,19 @@
         revision = await self.parts.writer.write(self.group, serving, self.revision)
         self.parts.leadership.observe(self.group, serving, revision)
         others = [e for e in self._endpoints() if e != primary]
-        await self._ask(others, self.parts.control.release)
+        notice = RecordNotice(self.group, serving, revision)
+        async with anyio.create_task_group() as tasks:
+            for member in self.parts.members.living():
+                if member.name != self.parts.duty.holder:
+                    tasks.start_soon(self._tell, member, notice)
+            await self._ask(others, self.parts.control.release)
+
+    async def _tell(self, member: MemberRecord, notice: RecordNotice) -> None:
+        try:
+            await self.parts.peers.tell(member, notice)
+        except PeerError as error:
+            # Its watch of the store tells it later.
+            log.info("record notice unanswered", member=member.name, error=str(error))
 
     def _endpoints(self) -> list[str]:
         return [endpoint.id for endpoint in self.parts.directory.in_group(self.group)]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -14,7 +14,7 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.leadership.records import CONFIRMATION_S, GroupRecord
-from rosemaryward.decisions.types import LogPosition
+from rosemaryward.decisions.types import LogPosition, Place
 
 __all__ = [
     "ConfirmationReply",
@@ -26,6 +26,8 @@
     "PeerChannel",
     "ReachReply",
     "ReachRequest",
+    "RecordNotice",
+    "RecordNoted",
     "ReleaseReply",
     "ReleaseRequest",
 ]
@@ -45,11 +47,19 @@
         ``host:port`` for requests of other members.
     incarnation : str
         Differs between two processes of the same name.
+    relay_address : str
+        ``host:port`` for statements that it relays, empty if it relays none.
+    place : Place
+    capacity : float
+        Statements per second that its processor and link can relay.
     """
 
     name: str
     address: str
     incarnation: str
+    relay_address: str = ""
+    place: Place = Place("", "")
+    capacity: float = 0.0
 
 
 class FenceRequest(msgspec.Struct, frozen=True, tag="fence"):
@@ -105,12 +115,15 @@
         Whether the member may have announced a change of a primary since.
     records : dict of str to tuple of GroupRecord and int
         Group records with their revisions.
+    revision : int
+        Revision of the store at that read.
     """
 
     age_s: float
     registered: bool
     changing: bool
     records: dict[str, tuple[GroupRecord, int]]
+    revision: int = 0
 
 
 class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
@@ -137,12 +150,35 @@
     stopped: bool
 
 
+class RecordNotice(msgspec.Struct, frozen=True, tag="record"):
+    """Take over a group's record that the store has accepted.
+
+    Parameters
+    ----------
+    group : str
+    record : GroupRecord
+    revision : int
+        Store revision of the record.
+    """
+
+    group: str
+    record: GroupRecord
+    revision: int
+
+
+class RecordNoted(msgspec.Struct, frozen=True, tag="noted"):
+    """The record is known."""
+
+
 class PeerChannel(Protocol):
     """Requests to other members; every method raises `PeerError`."""
 
     async def fence(self, member: MemberRecord, request: FenceRequest) -> FenceReply:
         """Ask a member to stop using a primary."""
 
+    async def tell(self, member: MemberRecord, notice: RecordNotice) -> None:
+        """Tell a member a record before its watch of the store does."""
+
     async def reaches(self, member: MemberRecord, request: ReachRequest) -> bool:
         """Ask a member whether an endpoint answers."""
 
@@ -172,6 +208,8 @@
         Names whose process holds its lease.
     absent_since : dict of str to float
         Boot time at which the lease of a registered member was seen to have ended.
+    version : int
+        Raised whenever the living members may have changed.
     """
 
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
@@ -180,6 +218,7 @@
         self.revisions: dict[str, int] = {}
         self.alive: set[str] = set()
         self.absent_since: dict[str, float] = {}
+        self.version = 0
 
     def observe(self, member: MemberRecord, revision: int) -> None:
         """Add a member; a new process of the same name replaces the old one."""
@@ -194,6 +233,7 @@
         )
         self.members[member.name] = member
         self.revisions[member.name] = revision
+        self.version += 1
         if member.name not in self.alive:
             # Its lease comes next; until then the new process may not use primaries.
             self.absent_since[member.name] = self.clock()
@@ -202,17 +242,21 @@
         """Note that a member ended its registration."""
         if self.members.pop(name, None) is not None:
             log.info("member left", member=name)
+        self.version += 1
         self.revisions.pop(name, None)
         self.absent_since.pop(name, None)
 
     def note_alive(self, name: str) -> None:
         """Note that the process of a member holds its lease."""
+        if name not in self.alive:
+            self.version += 1
         self.alive.add(name)
         self.absent_since.pop(name, None)
 
     def note_absent(self, name: str) -> None:
         """Note that the lease of a member's process ended or was taken back."""
         self.alive.discard(name)
+        self.version += 1
         if name in self.members:
             log.info("member absent", member=name)
             self.absent_since.setdefault(name, self.clock())
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/readers.py
@@ -0,0 +1,33 @@
+"""Which members of a large fleet read the store for the others.
+
+The store's rates grow more slowly than the fleet. In each failure domain a few members
+read the agreed records at a fixed interval, and the others ask one of these.
+"""
+
+from collections.abc import Iterable
+
+from rosemaryward.decisions.hashing import stable_hash
+from rosemaryward.decisions.leadership.members import MemberRecord
+
+__all__ = ["everyone_reads", "readers_of"]
+
+READERS_PER_DOMAIN = 2
+SMALL_FLEET = 12  # members; so many may read the store themselves
+
+
+def everyone_reads(living: Iterable[MemberRecord]) -> bool:
+    """Return whether the fleet is so small that all of its members read the store."""
+    return sum(1 for _ in living) <= SMALL_FLEET
+
+
+def readers_of(living: Iterable[MemberRecord], domain: str) -> list[MemberRecord]:
+    """Return the members that read the store for a failure domain.
+
+    Parameters
+    ----------
+    living : iterable of MemberRecord
+    domain : str
+    """
+    near = [member for member in living if member.place.failure_domain == domain]
+    near.sort(key=lambda member: (-member.capacity, stable_hash(member.name)))
+    return near[:READERS_PER_DOMAIN]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -1,6 +1,7 @@
 """Watches the primaries while this proxy holds the duty to change them."""
 
 import contextlib
+import itertools
 from collections.abc import Callable
 
 import anyio
@@ -23,6 +24,8 @@
 STALL_SUSPECT_S = 0.4  # age of a write without an answer
 STALL_CHECK_S = 0.25
 
+WITNESS_LIMIT = 11  # probes take slots of an endpoint that may merely be busy
+
 SILENT = "primary silent"
 
 log = structlog.get_logger(__name__)
@@ -140,7 +143,7 @@
         return lost and silent_s >= SUSPECT_AFTER_S
 
     async def _is_lost_to_most(self, endpoint_id: str) -> bool:
-        """Return whether less than half of the members reach an endpoint."""
+        """Return whether less than half of the asked members reach an endpoint."""
         answers: dict[str, bool] = {self.parts.duty.holder: False}
 
         async def ask(member: MemberRecord) -> None:
@@ -152,9 +155,8 @@
                 log.info("member unreachable", member=member.name, error=str(error))
 
         async with anyio.create_task_group() as tasks:
-            for member in self.parts.members.living():
-                if member.name != self.parts.duty.holder:
-                    tasks.start_soon(ask, member)
+            for member in self._witnesses():
+                tasks.start_soon(ask, member)
         reached = sum(answers.values())
         log.info(
             "primary suspected",
@@ -164,6 +166,16 @@
         )
         return reached * 2 < len(answers)
 
+    def _witnesses(self) -> list[MemberRecord]:
+        """Return a bounded number of other members, spread over failure domains."""
+        by_domain: dict[str, list[MemberRecord]] = {}
+        for member in self.parts.members.living():
+            if member.name != self.parts.duty.holder:
+                by_domain.setdefault(member.place.failure_domain, []).append(member)
+        turns = itertools.zip_longest(*by_domain.values())
+        in_turn = [member for turn in turns for member in turn if member is not None]
+        return in_turn[:WITNESS_LIMIT]
+
     async def _is_stalled(self, endpoint_id: str) -> bool:
         """Return whether the primary's log grows while no replica receives it."""
         now = self.clock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -111,6 +111,11 @@
     def __init__(self):
         self.fenced = {}
         self.confirmations = {}
+        self.told = []
+
+    async def tell(self, member, notice):
+        await anyio.lowlevel.checkpoint()
+        self.told.append((member.name, notice.record, notice.revision))
 
     async def fence(self, member, request):
         await anyio.lowlevel.checkpoint()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/ownership.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/ownership.py
@@ -8,7 +8,7 @@
 import anyio.lowlevel
 
 from rosemaryward.decisions.document.schema import DatabaseSection, Document
-from rosemaryward.decisions.membership.hashing import stable_hash
+from rosemaryward.decisions.hashing import stable_hash
 from rosemaryward.decisions.membership.rendezvous import (
     MemberPool,
     match_owners,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/primaries.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/primaries.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from rosemaryward.decisions.membership.hashing import stable_hash
+from rosemaryward.decisions.hashing import stable_hash
 from rosemaryward.decisions.messages import PrimaryRecord
 
 __all__ = ["PrimaryDirectory"]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/rendezvous.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/rendezvous.py
@@ -7,7 +7,7 @@
 from functools import lru_cache
 
 from rosemaryward.decisions.document.schema import InstanceSection
-from rosemaryward.decisions.membership.hashing import stable_hash
+from rosemaryward.decisions.hashing import stable_hash
 from rosemaryward.decisions.messages import Member
 from rosemaryward.decisions.types import Place
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/table.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from rosemaryward.decisions.membership.hashing import stable_hash
+from rosemaryward.decisions.hashing import stable_hash
 from rosemaryward.decisions.messages import Member, MemberState
 
 __all__ = ["MemberTable"]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -5,7 +5,7 @@
 store's revision, which the watch must reach soon afterwards.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 import anyio
@@ -26,7 +26,7 @@
 EVERYTHING = ""
 WATCH_WAIT_S = 20.0
 CONFIRM_INTERVAL_S = 1.5
-CATCH_UP_S = 0.4  # a watch that is further behind than this has missed changes
+CATCH_UP_S = 0.5  # a watch that is further behind has missed changes
 RETRY_PAUSE_S = 0.25
 
 log = structlog.get_logger(__name__)
@@ -55,6 +55,11 @@
     on_confirmed : callable
         Called with the boot time at which an answered read was sent, and with the
         values that it returned.
+    ask_reader : callable, optional
+        Lets another process confirm the prefix; returns the revision that it read,
+        0 if this process has to read.
+    watch_pause_s : callable, optional
+        Returns the pause in seconds after each watch that returned changes.
     clock : callable, optional
 
     Attributes
@@ -71,8 +76,12 @@
         subscribers: Mapping[str, Subscriber],
         confirmed_prefix: str,
         on_confirmed: Callable[[float, Listing], None],
+        ask_reader: Callable[[], Awaitable[int]] | None = None,
+        watch_pause_s: Callable[[], float] = float,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
+        self.ask_reader = ask_reader or _read_oneself
+        self.watch_pause_s = watch_pause_s
         self.store = store
         self.subscribers = subscribers
         self.confirmed_prefix = confirmed_prefix
@@ -122,6 +131,7 @@
                         EVERYTHING, self.revision, WATCH_WAIT_S
                     )
                     self._apply(changes)
+                    await anyio.sleep(self.watch_pause_s())
                 except HistoryLostError:
                     log.info("store history lost", revision=self.revision)
                     lost = True
@@ -133,22 +143,33 @@
 
     async def _confirm(self) -> None:
         await self.loaded.wait()
+        read_next = True  # the first read shows whether this process is registered
         while True:
             sent_at = self.clock()
-            try:
-                listing = await self.store.list(self.confirmed_prefix)
-            except StoreError as error:
-                self._note_reachable(False, str(error))
-                await anyio.sleep(RETRY_PAUSE_S)
-                continue
-            for stored in listing.values:
-                self._written(stored)
-            self.on_confirmed(sent_at, listing)
-            self._note_reachable(True, "")
-            if await self._asked_within(CATCH_UP_S):
+            revision = 0 if read_next else await self.ask_reader()
+            if not revision:
+                try:
+                    revision = await self._read_confirmed()
+                except StoreError as error:
+                    self._note_reachable(False, str(error))
+                    await anyio.sleep(RETRY_PAUSE_S)
+                    continue
+            read_next = await self._asked_within(CATCH_UP_S)
+            if read_next:
                 continue
-            self._check_watch(listing)
-            await self._asked_within(sent_at + CONFIRM_INTERVAL_S - self.clock())
+            self._check_watch(revision)
+            pause_s = sent_at + CONFIRM_INTERVAL_S - self.clock()
+            read_next = await self._asked_within(pause_s)
+
+    async def _read_confirmed(self) -> int:
+        """Read the confirmed prefix; return the revision; raises `StoreError`."""
+        sent_at = self.clock()
+        listing = await self.store.list(self.confirmed_prefix)
+        for stored in listing.values:
+            self._written(stored)
+        self.on_confirmed(sent_at, listing)
+        self._note_reachable(True, "")
+        return listing.revision
 
     async def _asked_within(self, wait_s: float) -> bool:
         """Wait; return early and True if a confirmation is asked for meanwhile."""
@@ -159,13 +180,13 @@
             self.confirm_now = anyio.Event()
         return asked
 
-    def _check_watch(self, listing: Listing) -> None:
-        if self.revision >= listing.revision or self.watch_scope is None:
+    def _check_watch(self, revision: int) -> None:
+        if self.revision >= revision or self.watch_scope is None:
             return
         log.warning(
             "watch behind the store",
             watch_revision=self.revision,
-            store_revision=listing.revision,
+            store_revision=revision,
         )
         self.watch_scope.cancel()
 
@@ -203,3 +224,7 @@
             log.info("store regained", revision=self.revision)
         else:
             log.warning("store lost", reason=reason, revision=self.revision)
+
+
+async def _read_oneself() -> int:
+    return 0
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -0,0 +1,261 @@
+"""Connections that reach an endpoint through its relay."""
+
+import itertools
+from collections.abc import Callable
+from typing import Protocol
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
+from rosemaryward.decisions.gateway.connections import Connection, EndpointPool
+from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.gateway.environment import Endpoint
+from rosemaryward.decisions.gateway.outcomes import (
+    Answer,
+    ConnectError,
+    ConnectionState,
+    Failure,
+    RelayLostError,
+    RelayUnavailableError,
+    UnansweredError,
+)
+from rosemaryward.decisions.gateway.statements import (
+    ControlStatement,
+    PreparedStatement,
+    Statement,
+    StatementKind,
+    Ticket,
+)
+from rosemaryward.decisions.leadership.members import MemberRecord
+from rosemaryward.decisions.relays.choice import RelayChooser
+from rosemaryward.decisions.relays.messages import (
+    Answered,
+    BeginRequest,
+    CloseRequest,
+    LeasedRequest,
+    Refused,
+    RelayReply,
+    RelayRequest,
+    RollBackRequest,
+    RunRequest,
+)
+from rosemaryward.decisions.types import LogPosition
+
+__all__ = ["RelayChannel", "RelayConnector", "RelayLink", "StatementPools"]
+
+
+class RelayLink(Protocol):
+    """Connection to one relay, shared by all statements of this proxy."""
+
+    async def request(self, message: RelayRequest) -> RelayReply:
+        """Return the reply; raises `OutcomeUnknownError` if the relay is lost."""
+
+    def post(self, message: RelayRequest) -> None:
+        """Send a request that has no reply."""
+
+
+class RelayChannel(Protocol):
+    """Connections to relays."""
+
+    async def link(self, member: MemberRecord) -> RelayLink:
+        """Return the connection to a relay; raises `PeerError`."""
+
+
+class _RelayedConnection:
+    """Connection that exists at the relay only while a statement or transaction runs.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+    connector : RelayConnector
+    """
+
+    __slots__ = ("connector", "endpoint", "lease", "link", "prepared", "values")
+
+    def __init__(self, endpoint: Endpoint, connector: "RelayConnector") -> None:
+        self.endpoint = endpoint
+        self.connector = connector
+        self.values: dict[str, str] = {}
+        self.prepared: dict[str, PreparedStatement] = {}
+        self.link: RelayLink | None = None
+        self.lease = 0
+
+    async def execute(
+        self,
+        statement: Statement,
+        prepared_name: str,
+        since: LogPosition | None,
+        ticket: Ticket | None,
+    ) -> Answer:
+        """Run a caller's statement; raises `ConnectError` if it was not sent."""
+        assert ticket is not None
+        prepared = self.prepared.get(prepared_name)
+        if statement.kind is StatementKind.EXECUTE:
+            # The relay composes the text from the prepared statement's own name.
+            statement = Statement(
+                statement.request_id, statement.kind, "", argument=statement.argument
+            )
+        if self.lease:
+            return await self._request(
+                LeasedRequest(self.lease, statement, self.values, prepared, ticket)
+            )
+        self.link = await self.connector.link(self.endpoint)
+        return await self._request(
+            RunRequest(
+                self.endpoint.id, statement, self.values, prepared, since, ticket
+            )
+        )
+
+    async def begin(
+        self, read_only: bool, since: LogPosition | None, ticket: Ticket | None
+    ) -> Answer:
+        """Begin a transaction; raises `ConnectError` if it was not sent."""
+        assert ticket is not None
+        self.link = await self.connector.link(self.endpoint)
+        lease = next(self.connector.leases)
+        request = BeginRequest(
+            self.endpoint.id, lease, read_only, self.values, since, ticket
+        )
+        self.lease = lease
+        return await self._request(request)
+
+    async def roll_back(self) -> Answer:
+        """Roll a transaction back."""
+        if not self.lease:
+            return self._context_answer()
+        return await self._request(RollBackRequest(self.lease))
+
+    async def set_value(self, name: str, value: str) -> Answer:
+        """Set a session value, which travels with the next statement."""
+        self.values[name] = value
+        return self._context_answer()
+
+    async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
+        """Prepare a statement, which travels with its execution."""
+        self.prepared[name] = prepared
+        return self._context_answer()
+
+    async def reset(self) -> Answer:
+        """Clear session values and prepared statements."""
+        self.values = {}
+        self.prepared = {}
+        return self._context_answer()
+
+    async def ask(self, control: ControlStatement) -> Answer:
+        """Refuse: control statements use direct connections."""
+        raise UnansweredError(f"{control.kind.name} is not relayed")
+
+    async def aclose(self) -> None:
+        """Give up an open transaction."""
+        if self.lease and self.link is not None:
+            self.link.post(CloseRequest(self.lease))
+        self.lease = 0
+
+    def _context_answer(self) -> Answer:
+        state = ConnectionState.TRANSACTION if self.lease else ConnectionState.IDLE
+        return Answer([], "-", state)
+
+    async def _request(self, message: RelayRequest) -> Answer:
+        assert self.link is not None
+        try:
+            reply = await self.link.request(message)
+        except OutcomeUnknownError as error:
+            self.lease = 0
+            raise RelayLostError(f"relay lost: {error}") from error
+        if isinstance(reply, Answered):
+            if reply.answer.state is ConnectionState.IDLE:
+                self.lease = 0
+            return reply.answer
+        if isinstance(reply, Refused):
+            raise ConnectError(reply.failure, f"at the relay: {reply.reason}")
+        self.lease = 0
+        reason = getattr(reply, "reason", type(reply).__name__)
+        raise UnansweredError(f"at the relay: {reason}")
+
+
+class RelayConnector:
+    """Makes connections through relays; none costs a message before its first use.
+
+    Parameters
+    ----------
+    chooser : RelayChooser
+    channel : RelayChannel
+    closer : callable
+        Closes a connection soon.
+    """
+
+    def __init__(
+        self,
+        chooser: RelayChooser,
+        channel: RelayChannel,
+        closer: Callable[[Connection], None],
+    ) -> None:
+        self.chooser = chooser
+        self.channel = channel
+        self.closer = closer
+        self.leases = itertools.count(1)
+
+    async def connect(self, endpoint: Endpoint) -> Connection:
+        """Return a connection."""
+        return _RelayedConnection(endpoint, self)
+
+    def discard(self, connection: Connection) -> None:
+        """Give up an open transaction of a connection soon."""
+        self.closer(connection)
+
+    async def link(self, endpoint: Endpoint) -> RelayLink:
+        """Return the connection to an endpoint's relay.
+
+        Raises
+        ------
+        RelayUnavailableError
+        """
+        member = self.chooser.relay(endpoint)
+        if member is None:
+            raise RelayUnavailableError(Failure.BUSY, "the endpoint has no relay now")
+        try:
+            return await self.channel.link(member)
+        except PeerError as error:
+            self.chooser.avoid(member, str(error))
+            raise RelayUnavailableError(Failure.BUSY, str(error)) from error
+
+
+class StatementPools:
+    """Pools of the endpoints for callers' statements, direct or through a relay.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+        Has the direct pools.
+    chooser : RelayChooser
+    connector : RelayConnector
+    clock : callable, optional
+    """
+
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        chooser: RelayChooser,
+        connector: RelayConnector,
+        clock: Callable[[], float] = boot_time_s,
+    ) -> None:
+        self.directory = directory
+        self.chooser = chooser
+        self.connector = connector
+        self.clock = clock
+        self.relayed: dict[str, EndpointPool] = {}
+
+    def pool(self, endpoint_id: str) -> EndpointPool | None:
+        """Return the pool for an endpoint, None if it is not registered."""
+        direct = self.directory.pools.get(endpoint_id)
+        if direct is None:
+            self.relayed.pop(endpoint_id, None)
+            return None
+        if self.chooser.relay(direct.endpoint) is None:
+            return direct
+        relayed = self.relayed.get(endpoint_id)
+        if relayed is None or relayed.endpoint.address != direct.endpoint.address:
+            relayed = EndpointPool(direct.endpoint, self.connector, self.clock)
+            self.relayed[endpoint_id] = relayed
+        elif relayed.endpoint != direct.endpoint:
+            relayed.update(direct.endpoint)
+        return relayed
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/fakes.py
@@ -0,0 +1,103 @@
+"""A proxy that reaches its endpoints through another proxy, both in memory."""
+
+import msgspec
+
+from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
+from rosemaryward.decisions.gateway.execution import Executor
+from rosemaryward.decisions.gateway.targets import TargetSelector
+from rosemaryward.decisions.gateway.tests.fakes import NEAR, Clock, Fleet
+from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
+from rosemaryward.decisions.relays.choice import RelayChooser
+from rosemaryward.decisions.relays.connections import RelayConnector, StatementPools
+from rosemaryward.decisions.relays.messages import RelayReply, RelayRequest
+from rosemaryward.decisions.relays.service import RelayService
+
+_requests = msgspec.msgpack.Decoder(RelayRequest)
+_replies = msgspec.msgpack.Decoder(RelayReply)
+
+
+def relay_member(name, place=NEAR, capacity=100.0):
+    return MemberRecord(
+        name, "10.0.0.1:1", f"inc-{name}", "10.0.0.1:2", place, capacity
+    )
+
+
+def members_of(*records, clock=None):
+    directory = MemberDirectory(clock or Clock())
+    for revision, record in enumerate(records, 1):
+        directory.observe(record, revision)
+        directory.note_alive(record.name)
+    return directory
+
+
+class Link:
+    """Connection to a relay in this process; messages are encoded as on the wire."""
+
+    def __init__(self, session):
+        self.session = session
+        self.lost = False
+        self.lose_reply = False
+        self.sent = []
+
+    async def request(self, message):
+        if self.lost:
+            raise OutcomeUnknownError("connection ended")
+        self.sent.append(message)
+        decoded = _requests.decode(msgspec.msgpack.encode(message))
+        reply = await self.session.handle(decoded)
+        if self.lose_reply:
+            self.lost = True
+            raise OutcomeUnknownError("connection ended")
+        return _replies.decode(msgspec.msgpack.encode(reply))
+
+    def post(self, message):
+        self.sent.append(message)
+        self.session._give_up(message.lease)
+
+
+class Channel:
+    def __init__(self, service):
+        self.service = service
+        self.down = False
+        self.links = []
+
+    async def link(self, member):
+        if self.down:
+            raise PeerError(f"{member.name} is unreachable")
+        if not self.links or self.links[-1].lost:
+            self.links.append(Link(self.service.session("proxy-1")))
+        return self.links[-1]
+
+
+class RelayedFleet(Fleet):
+    """Fleet whose proxy uses a relay; `relay` is the relay's own proxy."""
+
+    def __init__(self, connection_limit=1, **arguments):
+        super().__init__(**arguments)
+        self.relay = Fleet(**arguments)
+        self.relay.clock = self.clock
+        self.service = RelayService(
+            self.relay.directory,
+            self.relay.leadership,
+            self.relay.selector.group_samples,
+            self.clock,
+        )
+        self.channel = Channel(self.service)
+        members = members_of(
+            relay_member("proxy-1", capacity=1.0), relay_member("proxy-2")
+        )
+        self.chooser = RelayChooser(
+            "proxy-1", members, lambda group: connection_limit, self.clock
+        )
+        connector = RelayConnector(self.chooser, self.channel, self._close)
+        self.closed = []
+        self.pools = StatementPools(self.directory, self.chooser, connector, self.clock)
+        self.selector = TargetSelector(
+            self.directory, self.leadership, NEAR, self.clock, self.pools.pool
+        )
+        self.executor = Executor(
+            self.selector, self.observer.attempt_failed, self.clock
+        )
+
+    def _close(self, connection):
+        self.closed.append(connection)
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -0,0 +1,232 @@
+import anyio
+import pytest
+
+from rosemaryward.decisions.gateway.environment import ReadPolicy
+from rosemaryward.decisions.gateway.outcomes import ConnectionState, Failure
+from rosemaryward.decisions.gateway.statements import Ticket
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, parse
+from rosemaryward.decisions.relays.messages import (
+    Answered,
+    BeginRequest,
+    CloseRequest,
+    LeasedRequest,
+    Refused,
+    RollBackRequest,
+    RunRequest,
+    Unanswered,
+)
+from rosemaryward.decisions.relays.tests.fakes import RelayedFleet
+from rosemaryward.decisions.types import Rank
+
+TICKET = Ticket(1, "caller", "db", 0.5, 1)
+
+
+def ran(fleet):
+    return fleet.relay.primary.texts()
+
+
+async def test_statements_run_on_the_relays_connections():
+    """Guards against a proxy that connects to an endpoint beside its relay."""
+    fleet = RelayedFleet()
+    replies = await fleet.serve("WRITE k v", "READ k")
+    assert [reply.failure for reply in replies] == [None, None]
+    assert ran(fleet) == ["WRITE k v", "READ k"]
+    assert fleet.primary.connections == []
+    assert len(fleet.relay.primary.connections) == 1
+
+
+async def test_fleet_with_enough_connections_uses_no_relay():
+    """Guards against a needless hop in a small fleet."""
+    fleet = RelayedFleet(connection_limit=30)
+    await fleet.serve("READ k")
+    assert fleet.primary.texts() == ["READ k"]
+    assert ran(fleet) == []
+
+
+async def test_session_context_travels_with_the_statement():
+    """Guards against another session's values or prepared statements."""
+    fleet = RelayedFleet()
+    await fleet.serve("SET zone north", "PREPARE s WRITE q2", "EXECUTE s k v")
+    (connection,) = fleet.relay.primary.connections
+    assert connection.values == {"zone": "north"}
+    assert ran(fleet) == ["EXECUTE w-q2 k v"]
+    await fleet.serve("READ k")
+    assert connection.values == {}
+
+
+async def test_transaction_keeps_one_connection_at_the_relay():
+    """Guards against statements of two transactions on one connection."""
+    fleet = RelayedFleet()
+    replies = await fleet.serve("BEGIN", "WRITE a 1", "WRITE b 2", "COMMIT")
+    assert [reply.failure for reply in replies] == [None] * 4
+    assert replies[-1].signature
+    assert ran(fleet) == ["BEGIN", "WRITE a 1", "WRITE b 2", "COMMIT"]
+    assert len(fleet.relay.primary.connections) == 1
+    assert fleet.service.running == 0
+    pool = fleet.relay.pool(fleet.relay.primary)
+    assert len(pool.idle) == 1
+
+
+@pytest.mark.parametrize(
+    ("texts", "failure"),
+    [
+        pytest.param(("WRITE k v",), Failure.IN_DOUBT, id="write"),
+        pytest.param(("BEGIN", "WRITE k v"), Failure.ROLLED_BACK, id="transaction"),
+    ],
+)
+async def test_relay_lost_with_a_write(texts, failure):
+    """Guards against a promise about a write that a lost relay may have run."""
+    fleet = RelayedFleet()
+    channel, session = fleet.session(*texts)
+    original = channel.receive
+
+    async def receive():
+        statement = await original()
+        if statement is not None and statement.text == "WRITE k v":
+            link = await fleet.channel.link(None)
+            link.lose_reply = True
+        return statement
+
+    channel.receive = receive
+    await session.run()
+    assert channel.replies[-1].failure is failure
+    assert not fleet.pools.pool("i-1").suspect
+
+
+async def test_read_whose_relay_is_lost_runs_again():
+    """Guards against failing a read because one relay was killed."""
+    fleet = RelayedFleet()
+    link = await fleet.channel.link(None)
+    link.lose_reply = True
+    (reply,) = await fleet.serve("READ k")
+    assert reply.failure is None
+    assert len(fleet.channel.links) == 2
+
+
+async def test_unreachable_relay_is_avoided():
+    """Guards against refusing work while the endpoint itself can be reached."""
+    fleet = RelayedFleet()
+    fleet.channel.down = True
+    (reply,) = await fleet.serve("READ k")
+    assert reply.failure is None
+    assert fleet.primary.texts() == ["READ k"]
+
+
+async def test_statement_of_a_replaced_primary_is_refused():
+    """Guards against a write that waited at the relay during a change of primary."""
+    fleet = RelayedFleet()
+    fleet.relay.leadership.fence(GROUP, 2)
+    session = fleet.service.session("proxy-1")
+    request = RunRequest("i-1", parse("WRITE k v"), {}, None, None, TICKET)
+    reply = await session.handle(request)
+    assert isinstance(reply, Refused)
+    assert ran(fleet) == []
+
+
+async def test_statement_fenced_while_it_waits_for_a_slot_is_refused():
+    """Guards against a fence that a queue at the relay escapes."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    pool = fleet.relay.pool(fleet.relay.primary)
+    pool.queue.set_slots(1)
+    request = RunRequest("i-1", parse("WRITE k v"), {}, None, None, TICKET)
+    replies = []
+
+    async def run():
+        replies.append(await session.handle(request))
+
+    async with (
+        anyio.create_task_group() as tasks,
+        pool.queue.slot(Rank.NORMAL, "other", "db", 1.0),
+    ):
+        tasks.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        fleet.relay.leadership.fence(GROUP, 2)
+    assert isinstance(replies[0], Refused)
+    assert ran(fleet) == []
+
+
+async def begin(session, lease=1):
+    reply = await session.handle(BeginRequest("i-1", lease, False, {}, None, TICKET))
+    assert isinstance(reply, Answered)
+
+
+async def test_lost_proxy_rolls_its_transactions_back():
+    """Guards against open transactions that hold slots after their proxy died."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    await begin(session)
+    session.close()
+    assert fleet.service.running == 0
+    assert fleet.relay.primary.connections[0].closed
+
+
+async def test_transaction_that_ended_is_not_begun_anew():
+    """Guards against a statement that runs outside of its transaction."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    await begin(session)
+    await session.handle(CloseRequest(1))
+    request = LeasedRequest(1, parse("WRITE k v"), {}, None, TICKET)
+    assert isinstance(await session.handle(request), Unanswered)
+    assert ran(fleet) == ["BEGIN"]
+
+
+async def test_rolled_back_connection_serves_others():
+    """Guards against a new connection for each transaction that rolls back."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    await begin(session)
+    reply = await session.handle(RollBackRequest(1))
+    assert reply.answer.state is ConnectionState.IDLE
+    await begin(session, 2)
+    assert len(fleet.relay.primary.connections) == 1
+
+
+async def test_leaving_relay_refuses_new_statements_and_ends_old_ones():
+    """Guards against a drain that cuts relayed transactions."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    await begin(session)
+    fleet.service.leaving = True
+    request = RunRequest("i-1", parse("READ k"), {}, None, None, TICKET)
+    assert isinstance(await session.handle(request), Refused)
+    commit = LeasedRequest(1, parse("COMMIT"), {}, None, TICKET)
+    assert isinstance(await session.handle(commit), Answered)
+    with anyio.fail_after(1):
+        await fleet.service.finish()
+
+
+async def test_relay_passes_older_positions_on():
+    """Guards against reads that only a replica without lag could serve."""
+    fleet = RelayedFleet(policy=ReadPolicy.READ_YOUR_WRITES)
+    fleet.relay.sample_primary(age_s=1.0)
+    fleet.relay.primary.position = type(fleet.relay.primary.position)(1, 20)
+    await fleet.serve("WRITE k v")
+    samples = fleet.selector.group_samples(GROUP)
+    oldest = samples.required(fleet.clock() - 1.1)
+    assert oldest is not None
+    assert oldest.index == 10
+
+
+async def test_position_counts_from_when_the_relay_sent_the_statement():
+    """Guards against samples that look as old as the wait in the relay's queue."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    pool = fleet.relay.pool(fleet.relay.primary)
+    pool.queue.set_slots(1)
+    request = RunRequest("i-1", parse("READ k"), {}, None, None, TICKET)
+    replies = []
+
+    async def run():
+        replies.append(await session.handle(request))
+
+    async with (
+        anyio.create_task_group() as tasks,
+        pool.queue.slot(Rank.NORMAL, "other", "db", 1.0),
+    ):
+        tasks.start_soon(run)
+        await anyio.wait_all_tasks_blocked()
+        fleet.clock.now += 0.3
+    ((since_sent_s, _),) = replies[0].answer.samples
+    assert since_sent_s == pytest.approx(0.3)
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
@@ -1,4 +1,4 @@
-"""Rare requests between members: fences, releases, reachability, confirmations.
+"""Rare requests between members: fences, records, reachability, confirmations.
 
 Each request uses its own TCP connection, so that a connection that went silent
 cannot delay a fence.
@@ -21,18 +21,22 @@
     MemberRecord,
     ReachReply,
     ReachRequest,
+    RecordNoted,
+    RecordNotice,
     ReleaseReply,
     ReleaseRequest,
 )
 
-__all__ = ["FleetChannel", "FleetServer"]
+__all__ = ["FleetChannel", "FleetServer", "Reply", "Request"]
 
 REQUEST_TIMEOUT_S = 0.6  # a reach request includes a probe of an endpoint
 LENGTH_SIZE = 4  # bytes
 MAX_MESSAGE_SIZE = 64 * 1024  # bytes
 
-Request = FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest
-Reply = FenceReply | ReachReply | ConfirmationReply | ReleaseReply
+Request = (
+    FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest | RecordNotice
+)
+Reply = FenceReply | ReachReply | ConfirmationReply | ReleaseReply | RecordNoted
 
 log = structlog.get_logger(__name__)
 
@@ -60,6 +64,10 @@
             raise PeerError(f"{member.name}: expected a fence, got {reply!r}")
         return reply
 
+    async def tell(self, member: MemberRecord, notice: RecordNotice) -> None:
+        """Tell a member a group's record; raises `PeerError`."""
+        await self._request(member, notice)
+
     async def reaches(self, member: MemberRecord, request: ReachRequest) -> bool:
         """Ask a member whether an endpoint answers; raises `PeerError`."""
         reply = await self._request(member, request)
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -5,7 +5,6 @@
 is late or repeated and is dropped.
 """
 
-import itertools
 import ssl
 from collections.abc import Callable
 from types import TracebackType
@@ -14,11 +13,7 @@
 from anyio.abc import ByteReceiveStream, ByteStream, SocketAttribute, TaskGroup
 from anyio.streams.tls import TLSListener
 
-from rosemaryward.decisions.errors import (
-    NotRunError,
-    OutcomeUnknownError,
-    PeerError,
-)
+from rosemaryward.decisions.errors import NotRunError, PeerError
 from rosemaryward.decisions.interfaces import StatementHandler
 from rosemaryward.decisions.links import LinkPurpose, LinkShaper
 from rosemaryward.decisions.messages import (
@@ -35,88 +30,16 @@
     decode_request,
     encode_message,
 )
+from rosemaryward.peers.multiplex import RECEIVE_SIZE, MultiplexedConnection
 from rosemaryward.peers.outbox import Outbox
 
 __all__ = ["StatementClient", "StatementServer"]
 
 CONNECT_TIMEOUT_S = 1.0
-RECEIVE_SIZE = 64 * 1024  # bytes
 HELLO_SIZE = 256  # bytes
 HELLO_TIMEOUT_S = 5.0
 
 
-class _Pending:
-    __slots__ = ("answered", "failure", "reply")
-
-    def __init__(self) -> None:
-        self.answered = anyio.Event()
-        self.reply: StatementReply | None = None
-        self.failure = ""
-
-
-class _ClientConnection:
-    """Connection to one proxy with its reader and writer."""
-
-    __slots__ = ("broken", "ids", "link", "outbox", "pending", "stream")
-
-    def __init__(self, stream: ByteStream, link: LinkShaper | None) -> None:
-        self.stream = stream
-        self.link = link
-        self.outbox = Outbox(stream, LinkPurpose.STATEMENT, link)
-        self.pending: dict[int, _Pending] = {}
-        self.ids = itertools.count(1)
-        self.broken = False
-
-    async def run(self) -> None:
-        """Read replies and write requests until the connection breaks."""
-        reason = "connection closed"
-        try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self.outbox.run)
-                await self._read()
-                group.cancel_scope.cancel()
-        except* (anyio.BrokenResourceError, anyio.EndOfStream, OSError, PeerError) as e:
-            reason = str(e.exceptions[0]) or type(e.exceptions[0]).__name__
-        finally:
-            self._fail_pending(reason)
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(self.stream)
-
-    async def request(
-        self, message: StatementRequest, timeout_s: float
-    ) -> StatementReply:
-        request_id = next(self.ids)
-        pending = self.pending[request_id] = _Pending()
-        try:
-            self.outbox.put(request_id, encode_message(message), _rank_of(message))
-            with anyio.move_on_after(timeout_s):
-                await pending.answered.wait()
-        finally:
-            self.pending.pop(request_id, None)
-        if pending.reply is None:
-            raise OutcomeUnknownError(pending.failure or "no answer in time")
-        return pending.reply
-
-    async def _read(self) -> None:
-        reader = FrameReader()
-        while True:
-            data = await self.stream.receive(RECEIVE_SIZE)
-            if self.link is not None:
-                self.link.count_received(len(data), None, LinkPurpose.RESULT)
-            for request_id, payload in reader.feed(data):
-                pending = self.pending.pop(request_id, None)
-                if pending is not None:
-                    pending.reply = decode_reply(payload)
-                    pending.answered.set()
-
-    def _fail_pending(self, reason: str) -> None:
-        self.broken = True
-        for pending in self.pending.values():
-            pending.failure = reason
-            pending.answered.set()
-        self.pending.clear()
-
-
 class StatementClient:
     """Sends requests to other proxies; implements `StatementChannel`.
 
@@ -147,7 +70,9 @@
         self.region = region
         self.link = link
         self.tls = tls
-        self.connections: dict[tuple[str, int], _ClientConnection] = {}
+        self.connections: dict[
+            tuple[str, int], MultiplexedConnection[StatementReply]
+        ] = {}
         self.connecting: dict[tuple[str, int], anyio.Lock] = {}
         self.group: TaskGroup | None = None
 
@@ -179,9 +104,13 @@
             If the connection broke or `timeout_s` passed before the answer.
         """
         connection = await self._connection(target)
-        return await connection.request(message, timeout_s)
+        return await connection.request(
+            encode_message(message), _rank_of(message), timeout_s
+        )
 
-    async def _connection(self, target: Member) -> _ClientConnection:
+    async def _connection(
+        self, target: Member
+    ) -> MultiplexedConnection[StatementReply]:
         address = (target.host, target.statement_port)
         connection = self.connections.get(address)
         if connection is not None and not connection.broken:
@@ -193,7 +122,7 @@
                 self.connections[address] = connection
         return connection
 
-    async def _connect(self, target: Member) -> _ClientConnection:
+    async def _connect(self, target: Member) -> MultiplexedConnection[StatementReply]:
         assert self.group is not None
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
@@ -202,7 +131,9 @@
         except (OSError, TimeoutError, anyio.BrokenResourceError) as error:
             raise NotRunError(f"cannot connect to {target.host_id}: {error}") from error
         is_far = target.place.region != self.region
-        connection = _ClientConnection(stream, self.link if is_far else None)
+        connection = MultiplexedConnection(
+            stream, self.link if is_far else None, decode_reply
+        )
         self.group.start_soon(connection.run)
         return connection
 
--- /dev/null
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
@@ -0,0 +1,155 @@
+import socket
+
+import anyio
+import pytest
+
+from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
+from rosemaryward.decisions.gateway.statements import (
+    Statement,
+    StatementKind,
+    Ticket,
+)
+from rosemaryward.decisions.gateway.tests.fakes import FAR, Fleet
+from rosemaryward.decisions.leadership.members import MemberRecord
+from rosemaryward.decisions.relays.messages import Answered, RunRequest
+from rosemaryward.decisions.relays.service import RelayService
+from rosemaryward.peers.relays import SILENCE_S, RelayClient, RelayServer
+
+READ = Statement("r1", StatementKind.READ, "READ k")
+
+
+def request(statement=READ):
+    ticket = Ticket(1, "caller", "db", 5.0, 1)
+    return RunRequest("i-1", statement, {}, None, None, ticket)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Pair:
+    """A proxy and a relay on loopback."""
+
+    def __init__(self):
+        self.fleet = Fleet()
+        self.service = RelayService(
+            self.fleet.directory,
+            self.fleet.leadership,
+            self.fleet.selector.group_samples,
+        )
+        address = f"127.0.0.1:{free_port()}"
+        self.server = RelayServer(address, self.service)
+        self.member = MemberRecord("proxy-2", "", "inc-2", address, FAR, 10.0)
+        self.lost = []
+        self.lost_one = anyio.Event()
+        self.client = RelayClient("proxy-1", self.note_lost)
+
+    def note_lost(self, member, reason, leaving):
+        self.lost.append((member, reason, leaving))
+        self.lost_one.set()
+
+    async def start(self, tasks):
+        tasks.start_soon(self.server.run)
+        tasks.start_soon(self.client.run)
+        with anyio.fail_after(2):
+            while True:
+                await anyio.sleep(0.01)
+                try:
+                    return await self.client.link(self.member)
+                except PeerError:
+                    continue
+
+
+async def test_many_statements_on_one_connection():
+    """Guards against an answer that reaches another statement."""
+    pair = Pair()
+    replies = {}
+    async with anyio.create_task_group() as tasks:
+        link = await pair.start(tasks)
+
+        async def ask(number):
+            statement = Statement(f"r{number}", StatementKind.READ, f"READ k{number}")
+            replies[number] = await link.request(request(statement))
+
+        async with anyio.create_task_group() as asking:
+            for number in range(20):
+                asking.start_soon(ask, number)
+        tasks.cancel_scope.cancel()
+    assert all(isinstance(reply, Answered) for reply in replies.values())
+    signatures = {reply.answer.signature for reply in replies.values()}
+    assert len(signatures) == 20
+
+
+async def test_silent_relay_is_lost(monkeypatch):
+    """Guards against waiting for a relay that is suspended or cut off."""
+    pair = Pair()
+    async with anyio.create_task_group() as tasks:
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        member = MemberRecord("proxy-3", "", "inc-3", f"127.0.0.1:{port}", FAR, 10.0)
+        tasks.start_soon(pair.client.run)
+        await anyio.wait_all_tasks_blocked()
+        link = await pair.client.link(member)
+        with anyio.fail_after(SILENCE_S + 2.0):
+            with pytest.raises(OutcomeUnknownError, match="no sign of life"):
+                await link.request(request())
+            await pair.lost_one.wait()
+        tasks.cancel_scope.cancel()
+        await listener.aclose()
+    assert pair.lost[0][0] == member
+
+
+async def test_slow_statement_does_not_lose_the_relay():
+    """Guards against giving up a relay that merely waits for an endpoint."""
+    pair = Pair()
+    async with anyio.create_task_group() as tasks:
+        link = await pair.start(tasks)
+        pool = pair.fleet.pool(pair.fleet.primary)
+        pool.queue.set_slots(1)
+        async with (
+            anyio.create_task_group() as asking,
+            pool.queue.slot(1, "other", "db", 5.0),
+        ):
+            asking.start_soon(link.request, request())
+            await anyio.sleep(SILENCE_S * 3)
+        tasks.cancel_scope.cancel()
+    assert pair.lost == []
+    assert pair.fleet.primary.texts() == ["READ k"]
+
+
+async def test_leaving_relay_tells_the_proxies():
+    """Guards against statements sent to a relay that refuses them."""
+    pair = Pair()
+    async with anyio.create_task_group() as tasks:
+        link = await pair.start(tasks)
+        await link.request(request())
+        pair.server.leave()
+        with anyio.fail_after(2):
+            await pair.lost_one.wait()
+        tasks.cancel_scope.cancel()
+    assert pair.lost == [(pair.member, "leaving", True)]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(b"proxy-9\n" + b"\xff" * 64, id="frame-too-long"),
+        pytest.param(
+            b"proxy-9\n" + (12).to_bytes(4, "big") + bytes(9) + b"abc", id="no-request"
+        ),
+    ],
+)
+async def test_malformed_requests_touch_nobody_else(data):
+    """Guards against a broken peer that ends the relay for all others."""
+    pair = Pair()
+    async with anyio.create_task_group() as tasks:
+        link = await pair.start(tasks)
+        host, _, port = pair.member.relay_address.rpartition(":")
+        async with await anyio.connect_tcp(host, int(port)) as stream:
+            await stream.send(data)
+            with anyio.fail_after(2), pytest.raises(anyio.EndOfStream):
+                await stream.receive()
+        assert isinstance(await link.request(request()), Answered)
+        tasks.cancel_scope.cancel()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -22,14 +22,14 @@
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.duty import DutyRecord, FailoverDuty
 from rosemaryward.decisions.leadership.members import (
-    ConfirmationReply,
     ConfirmationRequest,
     FenceReply,
     FenceRequest,
     MemberDirectory,
     MemberRecord,
     ReachReply,
-    ReachRequest,
+    RecordNoted,
+    RecordNotice,
     ReleaseReply,
     ReleaseRequest,
 )
@@ -39,8 +39,12 @@
     StoredValue,
     StoreMirror,
 )
+from rosemaryward.decisions.relays.choice import RelayChooser, relay_capacity
+from rosemaryward.decisions.relays.connections import RelayConnector, StatementPools
+from rosemaryward.decisions.relays.service import RelayService
 from rosemaryward.operators.metrics import ProxyMetrics
-from rosemaryward.peers.fleet import FleetChannel, FleetServer
+from rosemaryward.peers.fleet import FleetChannel, FleetServer, Reply, Request
+from rosemaryward.peers.relays import RelayClient, RelayServer
 from rosemaryward.platform.callers import CallerLineServer, LineCallerChannel
 from rosemaryward.platform.configuration import (
     CONFIGURATION_KEY,
@@ -113,7 +117,23 @@
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = FleetChannel()
         self.writer = GroupRecordWriter(self.store)
-        self.selector = TargetSelector(self.directory, self.leadership, settings.place)
+        self.relay_client = RelayClient(settings.name, self._avoid_relay)
+        self.relays = RelayChooser(settings.name, self.members, self._connection_limit)
+        self.pools = StatementPools(
+            self.directory,
+            self.relays,
+            RelayConnector(self.relays, self.relay_client, self.connector.discard),
+        )
+        self.selector = TargetSelector(
+            self.directory,
+            self.leadership,
+            settings.place,
+            pool_of=self.pools.pool,
+        )
+        self.relay_service = RelayService(
+            self.directory, self.leadership, self.selector.group_samples
+        )
+        self.relay_server = RelayServer(settings.relay_address, self.relay_service)
         self.executor = Executor(self.selector, self.statements.attempt_failed)
         self.duty = FailoverDuty(
             self.store,
@@ -124,9 +144,18 @@
             settings.first_start,
             self._ask_release,
         )
-        self.confirmation = Confirmation(self.incarnation, self.leadership, self.peers)
+        self.confirmation = Confirmation(
+            self.incarnation, self.leadership, self.peers, directory=self.members
+        )
         self.registration = Registration(
-            MemberRecord(settings.name, settings.peer_address, self.incarnation),
+            MemberRecord(
+                settings.name,
+                settings.peer_address,
+                self.incarnation,
+                settings.relay_address,
+                settings.place,
+                relay_capacity(settings.cores, settings.link_mbps),
+            ),
             self.store,
             self.members,
             self.duty,
@@ -137,6 +166,8 @@
             self._subscribers(),
             AGREED_PREFIX,
             self.registration.note_read,
+            self.confirmation.ask_reader,
+            self.confirmation.watch_pause_s,
         )
         self.sessions: set[CallerSession] = set()
         self.session_ended = anyio.Event()
@@ -176,6 +207,8 @@
                 self._readiness().run,
                 self._metrics_page().run,
                 FleetServer(self.settings.peer_address, self._answer_member).run,
+                self.relay_server.run,
+                self.relay_client.run,
                 self.mirror.run,
                 self._register,
                 self._hold_duty,
@@ -217,6 +250,7 @@
         self.draining = True
         log.info("drain begins", sessions=len(self.sessions), grace_s=grace_s)
         await self.duty.give_back()
+        self.relay_server.leave()
         await anyio.sleep(OUT_OF_ROTATION_S)
         for session in list(self.sessions):
             session.end()
@@ -229,10 +263,11 @@
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
 
     async def _wait_for_sessions(self, until: float) -> None:
-        """Return when no session is left, at the latest at a boot time."""
+        """Return when no work is left, at the latest at a boot time."""
         with anyio.move_on_after(max(until - boot_time_s(), 0.0)):
             while self.sessions:
                 await self.session_ended.wait()
+            await self.relay_service.finish()
 
     def is_ready(self) -> bool:
         """Return whether the proxy can serve callers."""
@@ -291,10 +326,10 @@
 
         return HttpAnswers(self.settings.metrics_address, {"/metrics": answer})
 
-    async def _answer_member(
-        self,
-        request: FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest,
-    ) -> FenceReply | ReachReply | ConfirmationReply | ReleaseReply:
+    async def _answer_member(self, request: Request) -> Reply:
+        if isinstance(request, RecordNotice):
+            self.leadership.observe(request.group, request.record, request.revision)
+            return RecordNoted()
         if isinstance(request, FenceRequest):
             position = await self.leadership.fence_and_drain(
                 request.group, request.epoch
@@ -307,6 +342,14 @@
             return ReleaseReply(stopped=self.confirmation.changing == 0)
         return ReachReply(await self._reaches(request.endpoint))
 
+    def _connection_limit(self, group: str) -> int | None:
+        """Return how many connections an endpoint of a group accepts from all."""
+        configured = self.environment.groups.get(group)
+        return None if configured is None else configured.max_connections
+
+    def _avoid_relay(self, member: MemberRecord, reason: str, leaving: bool) -> None:
+        self.relays.avoid(member, reason, leaving)
+
     async def _ask_release(self, name: str, token: int) -> bool:
         """Return whether the member of a name no longer acts under a token."""
         member = self.members.members.get(name)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -93,7 +93,7 @@
                 continue
             if alive.get(record.name) == record.incarnation:
                 members.append(record)
-        self.confirmation.note_read(sent_at, members)
+        self.confirmation.note_read(sent_at, members, listing.revision)
 
     async def refresh(self) -> None:
         """Read the members from the store; raises `StoreError`."""
