Close relayed transactions that are given up while they begin

A CloseRequest that overtook the BEGIN was ignored and left the transaction open until the peer's connection ended.

Ruled out: rollbacks (their state is checked), timeouts (the connection is broken).

Change: such a connection is closed.

Tests: test_transaction_given_up_while_it_begins fails without the change.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -203,6 +203,8 @@
     endpoint : Endpoint
     connector : Connector
     clock : callable, optional
+    connection_cap : callable, optional
+        Returns how many connections callers' statements may use, None for no cap.
 
     Attributes
     ----------
@@ -217,7 +219,9 @@
         endpoint: Endpoint,
         connector: Connector,
         clock: Callable[[], float] = boot_time_s,
+        connection_cap: Callable[[str], int | None] | None = None,
     ) -> None:
+        self.connection_cap = connection_cap
         self.endpoint = endpoint
         self.connector = connector
         self.clock = clock
@@ -272,13 +276,15 @@
             return
         self.note_failure(reason)
 
-    async def take(self, wait_s: float) -> PooledConnection:
+    async def take(self, wait_s: float, above_cap: bool = False) -> PooledConnection:
         """Return an idle connection or open one.
 
         Parameters
         ----------
         wait_s : float
             Time to wait for a connection when the endpoint accepts no more.
+        above_cap : bool
+            Whether the cap for callers' statements does not count.
 
         Raises
         ------
@@ -288,7 +294,8 @@
         while True:
             if self.idle:
                 return self.idle.pop()
-            if self.clock() >= self.limited_until:
+            capped = not above_cap and self._is_capped()
+            if not capped and self.clock() >= self.limited_until:
                 try:
                     return await self._open(wait_s)
                 except ConnectError as error:
@@ -296,12 +303,19 @@
                         self.note_failure(error.reason)
                         raise
                     self._note_limit(error.reason)
-            left_s = min(give_up_at, self.limited_until) - self.clock()
+            wake_at = give_up_at if capped else min(give_up_at, self.limited_until)
+            left_s = wake_at - self.clock()
             if self.clock() >= give_up_at:
                 raise ConnectError(Failure.CONNECTION_LIMIT, "no connection is free")
             with anyio.move_on_after(max(left_s, 0.0)):
                 await self.returned.wait()
 
+    def _is_capped(self) -> bool:
+        if self.connection_cap is None:
+            return False
+        cap = self.connection_cap(self.endpoint.group)
+        return cap is not None and self.opened >= cap
+
     async def _open(self, wait_s: float) -> PooledConnection:
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, max(wait_s, 0.001))):
@@ -336,9 +350,11 @@
         self.returned = anyio.Event()
 
     @contextlib.asynccontextmanager
-    async def connection(self, wait_s: float) -> AsyncIterator[PooledConnection]:
+    async def connection(
+        self, wait_s: float, above_cap: bool = False
+    ) -> AsyncIterator[PooledConnection]:
         """Hold a connection; raises `ConnectError`."""
-        pooled = await self.take(wait_s)
+        pooled = await self.take(wait_s, above_cap)
         try:
             yield pooled
         except BaseException:
@@ -354,7 +370,7 @@
         ------
         ConnectError, UnansweredError
         """
-        async with self.connection(timeout_s) as pooled:
+        async with self.connection(timeout_s, above_cap=True) as pooled:
             try:
                 with anyio.fail_after(timeout_s):
                     answer = await pooled.ask(control)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -35,6 +35,9 @@
     ----------
     connector : Connector
     clock : callable, optional
+    connection_cap : callable, optional
+        Returns how many connections to an endpoint of a group callers' statements
+        may use, None for no cap.
 
     Attributes
     ----------
@@ -45,8 +48,12 @@
     """
 
     def __init__(
-        self, connector: Connector, clock: Callable[[], float] = boot_time_s
+        self,
+        connector: Connector,
+        clock: Callable[[], float] = boot_time_s,
+        connection_cap: Callable[[str], int | None] | None = None,
     ) -> None:
+        self.connection_cap = connection_cap
         self.connector = connector
         self.clock = clock
         self.endpoints: dict[str, Endpoint] = {}
@@ -74,7 +81,9 @@
         if pool is None or moved:
             if pool is not None:
                 pool.close()
-            self.pools[endpoint.id] = EndpointPool(endpoint, self.connector, self.clock)
+            self.pools[endpoint.id] = EndpointPool(
+                endpoint, self.connector, self.clock, self.connection_cap
+            )
         else:
             pool.update(endpoint)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/choice.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/choice.py
@@ -18,6 +18,8 @@
 
 DIRECT_CONNECTIONS = 3  # per proxy; with fewer, a burst runs into the limit
 LARGE_SHARE = 0.5  # of the largest capacity within a failure domain
+RESERVED_SHARE = 0.125  # of the connections, for control and for a second relay
+RESERVED_LEAST = 2
 AVOID_S = 2.0
 LEAVING_S = 10.0  # longer than the grace period of a process that stops
 
@@ -75,10 +77,23 @@
         self.ranked: dict[str, list[MemberRecord]] = {}
         self.ranked_version = -1
 
+    def is_scarce(self, group: str) -> bool:
+        """Return whether the proxies outnumber the connections of an endpoint."""
+        limit = self.connection_limit(group)
+        return limit is not None and limit < DIRECT_CONNECTIONS * len(
+            self.members.alive
+        )
+
+    def connection_cap(self, group: str) -> int | None:
+        """Return how many connections statements may use, None for no cap."""
+        limit = self.connection_limit(group)
+        if limit is None or not self.is_scarce(group):
+            return None
+        return limit - max(RESERVED_LEAST, round(limit * RESERVED_SHARE))
+
     def relay(self, endpoint: Endpoint) -> MemberRecord | None:
         """Return the relay of an endpoint, None to connect to it directly."""
-        limit = self.connection_limit(endpoint.group)
-        if limit is None or limit >= DIRECT_CONNECTIONS * len(self.members.alive):
+        if not self.is_scarce(endpoint.group):
             return None
         now = self.clock()
         for member in self._rank(endpoint):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -177,6 +177,7 @@
         self.service = service
         self.peer = peer
         self.leases: dict[int, _Lease] = {}
+        self.beginning: set[int] = set()
         self.closed = False
 
     async def handle(self, request: RelayRequest) -> RelayReply | None:
@@ -186,7 +187,11 @@
             if isinstance(request, RunRequest):
                 return await self._run(request)
             if isinstance(request, BeginRequest):
-                return await self._begin(request)
+                self.beginning.add(request.lease)
+                try:
+                    return await self._begin(request)
+                finally:
+                    self.beginning.discard(request.lease)
             if isinstance(request, LeasedRequest):
                 return await self._run_leased(request)
             if isinstance(request, RollBackRequest):
@@ -248,11 +253,15 @@
         except BaseException:
             pool.give_back(pooled)
             raise
-        lease = _Lease(pool, pooled)
-        self.leases[request.lease] = lease
-        self.service.enter()
-        if answer.failure is not None or self.closed:
-            self._end(request.lease, lease)
+        if answer.failure is not None:
+            pool.give_back(pooled)
+        elif self.closed or request.lease not in self.beginning:
+            # The other proxy has given the transaction up, or has ended.
+            pooled.broken = True
+            pool.give_back(pooled)
+        else:
+            self.leases[request.lease] = _Lease(pool, pooled)
+            self.service.enter()
         return self.service.answer(pool, request.ticket, times, answer)
 
     async def _run_leased(self, request: LeasedRequest) -> RelayReply:
@@ -341,6 +350,7 @@
 
     def _give_up(self, number: int) -> None:
         """Close a transaction's connection, after its running statement if any."""
+        self.beginning.discard(number)
         lease = self.leases.get(number)
         if lease is None:
             return
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_choice.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_choice.py
@@ -105,3 +105,17 @@
     """Guards against a fast host behind a narrow link as a relay."""
     assert relay_capacity(2.0, 1000.0) > relay_capacity(2.0, 5.0)
     assert relay_capacity(0.5, 1000.0) < relay_capacity(2.0, 1000.0)
+
+
+@pytest.mark.parametrize(
+    ("limit", "cap"),
+    [
+        pytest.param(30, None, id="plenty"),
+        pytest.param(5, 3, id="few"),
+        pytest.param(None, None, id="unknown"),
+    ],
+)
+def test_connections_kept_for_control(limit, cap):
+    """Guards against a change of primary that finds no connection for its survey."""
+    chooser, _, _ = make(relay_member("a"), relay_member("b"), limit=limit)
+    assert chooser.connection_cap("orders") == cap
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -1,8 +1,13 @@
 import anyio
 import pytest
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.environment import ReadPolicy
-from rosemaryward.decisions.gateway.outcomes import ConnectionState, Failure
+from rosemaryward.decisions.gateway.outcomes import (
+    ConnectError,
+    ConnectionState,
+    Failure,
+)
 from rosemaryward.decisions.gateway.statements import Ticket
 from rosemaryward.decisions.gateway.tests.fakes import GROUP, parse
 from rosemaryward.decisions.relays.messages import (
@@ -161,6 +166,39 @@
     assert fleet.relay.primary.connections[0].closed
 
 
+@pytest.mark.parametrize(
+    "give_up",
+    [
+        pytest.param(lambda session: session.close(), id="proxy-lost"),
+        pytest.param(lambda session: session._give_up(1), id="given-up"),
+    ],
+)
+async def test_transaction_given_up_while_it_begins(give_up):
+    """Guards against an open transaction on a connection that others then use."""
+    fleet = RelayedFleet()
+    session = fleet.service.session("proxy-1")
+    pool = fleet.relay.pool(fleet.relay.primary)
+    original = fleet.relay.connector.connect
+
+    async def connect(endpoint):
+        connection = await original(endpoint)
+        begin_ = connection.begin
+
+        async def begin_and_give_up(*arguments):
+            answer = await begin_(*arguments)
+            give_up(session)
+            return answer
+
+        connection.begin = begin_and_give_up
+        return connection
+
+    fleet.relay.connector.connect = connect
+    await begin(session)
+    assert fleet.service.running == 0
+    assert pool.idle == []
+    assert fleet.relay.primary.connections[0].closed
+
+
 async def test_transaction_that_ended_is_not_begun_anew():
     """Guards against a statement that runs outside of its transaction."""
     fleet = RelayedFleet()
@@ -230,3 +268,17 @@
         fleet.clock.now += 0.3
     ((since_sent_s, _),) = replies[0].answer.samples
     assert since_sent_s == pytest.approx(0.3)
+
+
+async def test_statements_leave_connections_for_control():
+    """Guards against a status request that finds all connections in use."""
+    fleet = RelayedFleet()
+    pool = fleet.relay.pool(fleet.relay.primary)
+    pool.clock = boot_time_s
+    pool.connection_cap = lambda group: 1
+    held = await pool.take(0.1)
+    with pytest.raises(ConnectError):
+        await pool.take(0.01)
+    control = await pool.take(0.1, above_cap=True)
+    pool.give_back(control)
+    pool.give_back(held)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -107,18 +107,20 @@
         self.metrics = ProxyMetrics(settings.name)
         self.store = PlatformStore(settings.store_address)
         self.connector = LineConnector(settings.name)
-        self.directory = EndpointDirectory(self.connector)
         self.leadership = Leadership()
         self.statements = StatementLog(
             self.metrics, self.leadership, lambda: self.environment.version
         )
         self.members = MemberDirectory()
+        self.relays = RelayChooser(settings.name, self.members, self._connection_limit)
+        self.directory = EndpointDirectory(
+            self.connector, connection_cap=self.relays.connection_cap
+        )
         self.control = LineGroupControl(self.directory)
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = FleetChannel()
         self.writer = GroupRecordWriter(self.store)
         self.relay_client = RelayClient(settings.name, self._avoid_relay)
-        self.relays = RelayChooser(settings.name, self.members, self._connection_limit)
         self.pools = StatementPools(
             self.directory,
             self.relays,
