Add a fault soak of real proxies against stand-ins of the platform

Stand-ins of the store, the instances, the promotion call and callers speak the platform's wire; a loopback link stands between every pair of processes. The checks compare what callers were told with what the instances ran.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/__main__.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/__main__.py
@@ -11,6 +11,7 @@
 from rosemaryward.bench.launch.command import UpCommand
 from rosemaryward.bench.overhead.command import OverheadCommand
 from rosemaryward.bench.relay.command import RelayCommand
+from rosemaryward.bench.soak.command import SoakCommand
 from rosemaryward.bench.store.command import PlatformCommand
 from rosemaryward.bench.summary.command import BenchCommand
 
@@ -31,6 +32,7 @@
         | OverheadCommand
         | PlatformCommand
         | RelayCommand
+        | SoakCommand
         | UpCommand
     ]
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/launch/processes.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/launch/processes.py
@@ -1,11 +1,12 @@
 """Child processes that end with the launcher."""
 
 import ctypes
+import os
 import signal
 import socket
 import subprocess
 import sys
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 
 import anyio
@@ -53,12 +54,27 @@
     ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
 
 
-def start_child(name: str, command: Sequence[str], logs: Path) -> Child:
-    """Start a process with its output in a file of `logs`."""
+def start_child(
+    name: str,
+    command: Sequence[str],
+    logs: Path,
+    environment: Mapping[str, str] | None = None,
+) -> Child:
+    """Start a process with its output appended to a file of `logs`.
+
+    Parameters
+    ----------
+    name : str
+    command : sequence of str
+    logs : Path
+    environment : mapping of str to str, optional
+        Added to this process's own.
+    """
     path = logs / f"{name}.log"
-    with path.open("wb") as log:
+    with path.open("ab") as log:
         process = subprocess.Popen(
             command,
+            env={**os.environ, **(environment or {})},
             stdin=subprocess.DEVNULL,
             stdout=log,
             stderr=subprocess.STDOUT,
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/web.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/web.py
@@ -47,7 +47,7 @@
         app,
         host,
         port,
-        log_level="error",
+        log_level="critical",
         access_log=False,
         timeout_graceful_shutdown=1,
     )
