--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -44,6 +44,8 @@
     clock : callable, optional
     directory : MemberDirectory, optional
         Tells who reads the store for whom in a large fleet.
+    on_request : callable, optional
+        Called with the incarnation of each process that asks.
 
     Attributes
     ----------
@@ -58,7 +60,9 @@
         peers: PeerChannel,
         clock: Callable[[], float] = boot_time_s,
         directory: MemberDirectory | None = None,
+        on_request: Callable[[str], None] | None = None,
     ) -> None:
+        self.on_request = on_request
         self.directory = directory or MemberDirectory(clock)
         self.incarnation = incarnation
         self.leadership = leadership
@@ -94,13 +98,16 @@
     def reply(self, request: ConfirmationRequest) -> ConfirmationReply:
         """Return what the store last confirmed to this process."""
         leadership = self.leadership
+        registered = self._lists(self.members, request.incarnation)
+        if self.on_request is not None:
+            self.on_request(request.incarnation)
         records = {
             group: (record, leadership.revisions[group])
             for group, record in leadership.records.items()
         }
         return ConfirmationReply(
             age_s=self.clock() - self.read_at,
-            registered=self._lists(self.members, request.incarnation),
+            registered=registered,
             changing=self.changing > 0,
             records=records,
             revision=self.revision,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -45,6 +45,12 @@
         self.values[key] = (value, self.revision)
         return self.revision
 
+    async def delete(self, key, expected):
+        await anyio.lowlevel.checkpoint()
+        if self.values.get(key, (None, 0))[1] != expected:
+            raise ConflictError(key)
+        del self.values[key]
+
     async def grant_lease(self, ttl_s):
         await anyio.lowlevel.checkpoint()
         self.leases += 1
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -34,6 +34,7 @@
     ReleaseRequest,
 )
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.leadership.sponsor import Sponsor
 from rosemaryward.decisions.leadership.supervisor import GroupSupervisor
 from rosemaryward.decisions.mirror import (
     StoredValue,
@@ -147,7 +148,11 @@
             self._ask_release,
         )
         self.confirmation = Confirmation(
-            self.incarnation, self.leadership, self.peers, directory=self.members
+            self.incarnation,
+            self.leadership,
+            self.peers,
+            directory=self.members,
+            on_request=self._note_request,
         )
         self.registration = Registration(
             MemberRecord(
@@ -171,6 +176,14 @@
             self.confirmation.ask_reader,
             self.confirmation.watch_pause_s,
         )
+        self.sponsor = Sponsor(
+            settings.name,
+            self.members,
+            self.store,
+            ALIVE_PREFIX,
+            lambda: self.registration.lease,
+            self.mirror.confirm_soon,
+        )
         self.sessions: set[CallerSession] = set()
         self.session_ended = anyio.Event()
         self.supervised: set[str] = set()
@@ -215,6 +228,7 @@
                 self._register,
                 self._hold_duty,
                 self.registration.forget,
+                self.sponsor.run,
                 self.confirmation.run,
                 self._sweep,
                 self._supervise,
@@ -344,6 +358,9 @@
             return ReleaseReply(stopped=self.confirmation.changing == 0)
         return ReachReply(await self._reaches(request.endpoint))
 
+    def _note_request(self, incarnation: str) -> None:
+        self.sponsor.note_request(incarnation)
+
     def _connection_limit(self, group: str) -> int | None:
         """Return how many connections an endpoint of a group accepts from all."""
         configured = self.environment.groups.get(group)
