--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 DEPLOYMENT ?= dat-mun-xanh
 STAMP := $(VENV)/.installed
 
-.PHONY: seeds overhead demo up test format lint types imports unit bench capacity clean
+.PHONY: seeds soak overhead demo up test format lint types imports unit bench capacity clean
 
 demo: $(STAMP)  ## Run one deployment end to end and print the measures.
 	$(BIN)/python -m rosemaryward.bench demo --deployment $(DEPLOYMENT)
@@ -45,6 +45,11 @@
 seeds: $(STAMP)  ## Run every fault with 200 seeds instead of 20; takes minutes.
 	ROSEMARYWARD_ALL_SEEDS=1 $(BIN)/python -m pytest -n 4 -k test_no_false_promotion
 
+SEEDS ?= 5
+
+soak: $(STAMP)  ## Inject random faults into real proxies; SEEDS says how many times.
+	$(BIN)/python -m rosemaryward.bench soak --seeds $(SEEDS)
+
 $(STAMP): pyproject.toml $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	python3 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet "uv>=0.5"
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -141,3 +141,13 @@
         position = await leadership.fence_and_drain(GROUP, 2)
     assert position == LogPosition()
     assert not leadership.acknowledge(GROUP, 1, LogPosition(1, 9))
+
+
+async def test_members_are_told_the_new_record():
+    """Guards against members that wait for their watch of the store."""
+    run = Change({"i-2": status(1, 6), "i-3": status(1, 4)})
+    await run.run()
+    ((name, record, revision),) = run.peers.told
+    assert name == "proxy-2"
+    assert record.serving
+    assert revision == run.writer.revision
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
@@ -8,8 +8,10 @@
     make_record,
 )
 from rosemaryward.decisions.leadership import supervisor as supervisor_module
+from rosemaryward.decisions.leadership.members import MemberRecord
 from rosemaryward.decisions.leadership.supervisor import GroupSupervisor
 from rosemaryward.decisions.leadership.tests.fakes import Change, status
+from rosemaryward.decisions.types import Place
 
 LEADS = {"i-1": status(1, 5, leads=True), "i-2": status(1, 5), "i-3": status(1, 5)}
 
@@ -124,3 +126,17 @@
     run.parts.directory.observe(make_endpoint("i-2", FAR))
     await run.check_after(0.1)
     assert leadership.records[GROUP].primary == "i-1"
+
+
+def test_witnesses_are_few_and_of_all_domains(monkeypatch):
+    """Guards against probes of a large fleet that fill the endpoint's slots."""
+    run = Supervised(monkeypatch, LEADS)
+    for number in range(40):
+        place = Place("north", f"d{number % 4}")
+        record = MemberRecord(f"m{number}", "", f"inc-m{number}", "", place)
+        run.parts.members.observe(record, 100 + number)
+        run.parts.members.note_alive(record.name)
+    witnesses = run.supervisor._witnesses()
+    assert len(witnesses) == supervisor_module.WITNESS_LIMIT
+    domains = {witness.place.failure_domain for witness in witnesses}
+    assert domains >= {"d0", "d1", "d2", "d3"}
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -170,3 +170,53 @@
         await until(lambda: len(confirmed) == 2)
         tasks.cancel_scope.cancel()
     assert confirmed[1] - asked_at < CATCH_UP_S
+
+
+async def test_reader_is_asked_after_the_first_own_read():
+    """Guards against reads of the store by every proxy of a large fleet."""
+    store = Store()
+    confirmed = []
+    asked = []
+
+    async def ask_reader():
+        asked.append(store.revision)
+        return store.revision
+
+    mirror = StoreMirror(
+        store,
+        {},
+        "c/",
+        lambda sent_at, listing: confirmed.append(sent_at),
+        ask_reader,
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await until(lambda: asked)
+        tasks.cancel_scope.cancel()
+    assert len(confirmed) == 1
+
+
+async def test_changes_in_succession_cost_one_watch():
+    """Guards against a call of each proxy for each of many changes."""
+    store = Store()
+    subscriber = Subscriber()
+    watches = []
+    original = store.watch
+
+    async def watch(*arguments):
+        watches.append(arguments)
+        return await original(*arguments)
+
+    store.watch = watch
+    mirror = StoreMirror(
+        store, {"": subscriber}, "c/", lambda *_: None, watch_pause_s=lambda: 0.2
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await until(lambda: watches)
+        for number in range(10):
+            store.put(f"d/{number}", b"x")
+            await anyio.sleep(0.005)
+        await until(lambda: len(subscriber.values) == 10)
+        tasks.cancel_scope.cancel()
+    assert len(watches) <= 3
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -128,13 +128,12 @@
     assert ran(fleet) == []
 
 
-async def test_statement_fenced_while_it_waits_for_a_slot_is_refused():
-    """Guards against a fence that a queue at the relay escapes."""
-    fleet = RelayedFleet()
+async def run_after_a_wait(fleet, text, meanwhile):
+    """Return the reply to a statement during whose wait for a slot things happen."""
     session = fleet.service.session("proxy-1")
     pool = fleet.relay.pool(fleet.relay.primary)
     pool.queue.set_slots(1)
-    request = RunRequest("i-1", parse("WRITE k v"), {}, None, None, TICKET)
+    request = RunRequest("i-1", parse(text), {}, None, None, TICKET)
     replies = []
 
     async def run():
@@ -146,8 +145,17 @@
     ):
         tasks.start_soon(run)
         await anyio.wait_all_tasks_blocked()
-        fleet.relay.leadership.fence(GROUP, 2)
-    assert isinstance(replies[0], Refused)
+        meanwhile()
+    return replies[0]
+
+
+async def test_statement_fenced_while_it_waits_for_a_slot_is_refused():
+    """Guards against a fence that a queue at the relay escapes."""
+    fleet = RelayedFleet()
+    reply = await run_after_a_wait(
+        fleet, "WRITE k v", lambda: fleet.relay.leadership.fence(GROUP, 2)
+    )
+    assert isinstance(reply, Refused)
     assert ran(fleet) == []
 
 
@@ -250,23 +258,12 @@
 async def test_position_counts_from_when_the_relay_sent_the_statement():
     """Guards against samples that look as old as the wait in the relay's queue."""
     fleet = RelayedFleet()
-    session = fleet.service.session("proxy-1")
-    pool = fleet.relay.pool(fleet.relay.primary)
-    pool.queue.set_slots(1)
-    request = RunRequest("i-1", parse("READ k"), {}, None, None, TICKET)
-    replies = []
-
-    async def run():
-        replies.append(await session.handle(request))
 
-    async with (
-        anyio.create_task_group() as tasks,
-        pool.queue.slot(Rank.NORMAL, "other", "db", 1.0),
-    ):
-        tasks.start_soon(run)
-        await anyio.wait_all_tasks_blocked()
+    def let_time_pass():
         fleet.clock.now += 0.3
-    ((since_sent_s, _),) = replies[0].answer.samples
+
+    reply = await run_after_a_wait(fleet, "READ k", let_time_pass)
+    ((since_sent_s, _),) = reply.answer.samples
     assert since_sent_s == pytest.approx(0.3)
 
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -9,7 +9,6 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import (
-    EndpointError,
     PeerError,
     SettingsError,
 )
@@ -22,15 +21,8 @@
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.duty import DutyRecord, FailoverDuty
 from rosemaryward.decisions.leadership.members import (
-    ConfirmationRequest,
-    FenceReply,
-    FenceRequest,
     MemberDirectory,
     MemberRecord,
-    ReachReply,
-    RecordNoted,
-    RecordNotice,
-    ReleaseReply,
     ReleaseRequest,
 )
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
@@ -44,7 +36,7 @@
 from rosemaryward.decisions.relays.connections import RelayConnector, StatementPools
 from rosemaryward.decisions.relays.service import RelayService
 from rosemaryward.operators.metrics import ProxyMetrics
-from rosemaryward.peers.fleet import FleetChannel, FleetServer, Reply, Request
+from rosemaryward.peers.fleet import FleetChannel, FleetServer
 from rosemaryward.peers.relays import RelayClient, RelayServer
 from rosemaryward.platform.callers import CallerLineServer, LineCallerChannel
 from rosemaryward.platform.configuration import (
@@ -68,6 +60,7 @@
     RecordSubscriber,
 )
 from rosemaryward.proxy.platform_registration import Registration
+from rosemaryward.proxy.platform_requests import MemberRequests
 from rosemaryward.proxy.statement_log import StatementLog
 
 __all__ = ["PlatformNode"]
@@ -81,7 +74,6 @@
 TRANSACTION_SHARE = 0.45  # of the grace period
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
-REACHED_WITHIN_S = 0.3  # an answer as young as this needs no probe
 FIRST_CONFIGURATION_S = 1.5  # callers wait 2 s for the answer to their start-up
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -121,7 +113,7 @@
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = FleetChannel()
         self.writer = GroupRecordWriter(self.store)
-        self.relay_client = RelayClient(settings.name, self._avoid_relay)
+        self.relay_client = RelayClient(settings.name, self.relays.avoid)
         self.pools = StatementPools(
             self.directory,
             self.relays,
@@ -152,7 +144,7 @@
             self.leadership,
             self.peers,
             directory=self.members,
-            on_request=self._note_request,
+            on_request=lambda incarnation: self.sponsor.note_request(incarnation),
         )
         self.registration = Registration(
             MemberRecord(
@@ -221,7 +213,7 @@
                 self._caller_server().run,
                 self._readiness().run,
                 self._metrics_page().run,
-                FleetServer(self.settings.peer_address, self._answer_member).run,
+                self._fleet_server().run,
                 self.relay_server.run,
                 self.relay_client.run,
                 self.mirror.run,
@@ -343,33 +335,22 @@
 
         return HttpAnswers(self.settings.metrics_address, {"/metrics": answer})
 
-    async def _answer_member(self, request: Request) -> Reply:
-        if isinstance(request, RecordNotice):
-            self.leadership.observe(request.group, request.record, request.revision)
-            return RecordNoted()
-        if isinstance(request, FenceRequest):
-            position = await self.leadership.fence_and_drain(
-                request.group, request.epoch
-            )
-            return FenceReply(self.incarnation, position)
-        if isinstance(request, ConfirmationRequest):
-            return self.confirmation.reply(request)
-        if isinstance(request, ReleaseRequest):
-            self.duty.release(request.token)
-            return ReleaseReply(stopped=self.confirmation.changing == 0)
-        return ReachReply(await self._reaches(request.endpoint))
-
-    def _note_request(self, incarnation: str) -> None:
-        self.sponsor.note_request(incarnation)
+    def _fleet_server(self) -> FleetServer:
+        requests = MemberRequests(
+            self.incarnation,
+            self.leadership,
+            self.confirmation,
+            self.duty,
+            self.directory,
+            self.control,
+        )
+        return FleetServer(self.settings.peer_address, requests.answer)
 
     def _connection_limit(self, group: str) -> int | None:
         """Return how many connections an endpoint of a group accepts from all."""
         configured = self.environment.groups.get(group)
         return None if configured is None else configured.max_connections
 
-    def _avoid_relay(self, member: MemberRecord, reason: str, leaving: bool) -> None:
-        self.relays.avoid(member, reason, leaving)
-
     async def _ask_release(self, name: str, token: int) -> bool:
         """Return whether the member of a name no longer acts under a token."""
         member = self.members.members.get(name)
@@ -381,25 +362,6 @@
             log.info("last holder unreachable", member=name, error=str(error))
             return False
 
-    async def _reaches(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint answers, if only that it is at its limit."""
-        asked_at = boot_time_s()
-        pool = self.directory.pools.get(endpoint_id)
-        if pool is not None and pool.answered_at >= asked_at - REACHED_WITHIN_S:
-            return True
-        try:
-            await self.control.status(endpoint_id)
-        except EndpointError as error:
-            answered = pool is not None and pool.answered_at >= asked_at
-            log.info(
-                "endpoint probed",
-                endpoint=endpoint_id,
-                answered=answered,
-                error=str(error),
-            )
-            return answered
-        return True
-
     # Values in the store
 
     def _configure(self, name: str, stored: StoredValue) -> None:
--- /dev/null
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_requests.py
@@ -0,0 +1,82 @@
+import pytest
+
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
+from rosemaryward.decisions.leadership.members import (
+    ConfirmationReply,
+    ConfirmationRequest,
+    FenceReply,
+    FenceRequest,
+    ReachReply,
+    ReachRequest,
+    RecordNoted,
+    RecordNotice,
+    ReleaseReply,
+    ReleaseRequest,
+)
+from rosemaryward.decisions.leadership.tests.fakes import Change, status
+from rosemaryward.proxy.platform_requests import MemberRequests
+
+
+class Duty:
+    def __init__(self):
+        self.released = []
+
+    def release(self, token):
+        self.released.append(token)
+
+
+class Member:
+    def __init__(self, statuses):
+        self.parts = Change(statuses)
+        self.duty = Duty()
+        self.requests = MemberRequests(
+            "inc-1",
+            self.parts.leadership,
+            self.parts.confirmation,
+            self.duty,
+            self.parts.directory,
+            self.parts.control,
+        )
+
+
+@pytest.mark.parametrize(
+    ("request_", "reply"),
+    [
+        pytest.param(FenceRequest(GROUP, 2), FenceReply, id="fence"),
+        pytest.param(ConfirmationRequest("inc-2"), ConfirmationReply, id="confirm"),
+        pytest.param(ReleaseRequest(7), ReleaseReply, id="release"),
+        pytest.param(ReachRequest("i-2"), ReachReply, id="reach"),
+        pytest.param(
+            RecordNotice(GROUP, make_record(2, "i-2"), 9), RecordNoted, id="record"
+        ),
+    ],
+)
+async def test_each_request_gets_its_reply(request_, reply):
+    """Guards against a request that another kind's answer ends."""
+    member = Member({"i-2": status(1, 5)})
+    assert isinstance(await member.requests.answer(request_), reply)
+
+
+async def test_told_record_is_in_force():
+    """Guards against a proxy that hears of a new primary and does not use it."""
+    member = Member({})
+    await member.requests.answer(RecordNotice(GROUP, make_record(2, "i-2"), 9))
+    assert member.parts.leadership.records[GROUP].primary == "i-2"
+
+
+@pytest.mark.parametrize(
+    ("statuses", "recent", "answered"),
+    [
+        pytest.param({"i-1": status(1, 5)}, False, True, id="answers-a-probe"),
+        pytest.param({}, False, False, id="silent"),
+        pytest.param({}, True, True, id="answered-a-moment-ago"),
+    ],
+)
+async def test_reach(statuses, recent, answered):
+    """Guards against a change because of a probe that was not needed."""
+    member = Member(statuses)
+    if recent:
+        member.parts.directory.pools["i-1"].answered_at = boot_time_s()
+    reply = await member.requests.answer(ReachRequest("i-1"))
+    assert reply.answered is answered
