--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -21,6 +21,7 @@
     Pong,
     RelayReply,
     RelayRequest,
+    Unanswered,
 )
 from rosemaryward.decisions.relays.service import RelayService, RelaySession
 from rosemaryward.decisions.types import Rank
@@ -255,7 +256,11 @@
         request: RelayRequest,
         outbox: Outbox,
     ) -> None:
-        reply = await session.handle(request)
+        try:
+            reply = await session.handle(request)
+        except Exception as error:  # an unexpected fault must not end the server
+            log.exception("relayed request failed", peer=session.peer)
+            reply = Unanswered(f"{type(error).__name__}: {error}")
         if reply is not None:
             outbox.put(request_id, _encoder.encode(reply), _rank_of(request))
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
@@ -11,7 +11,7 @@
 )
 from rosemaryward.decisions.gateway.tests.fakes import FAR, Fleet
 from rosemaryward.decisions.leadership.members import MemberRecord
-from rosemaryward.decisions.relays.messages import Answered, RunRequest
+from rosemaryward.decisions.relays.messages import Answered, RunRequest, Unanswered
 from rosemaryward.decisions.relays.service import RelayService
 from rosemaryward.peers.relays import SILENCE_S, RelayClient, RelayServer
 
@@ -119,6 +119,22 @@
     assert pair.fleet.primary.texts() == ["READ k"]
 
 
+async def test_unexpected_fault_is_told_and_ends_nothing(monkeypatch):
+    """Guards against one request that ends the relay for all proxies."""
+    pair = Pair()
+
+    def fail(endpoint_id, ticket):
+        raise KeyError(endpoint_id)
+
+    async with anyio.create_task_group() as tasks:
+        link = await pair.start(tasks)
+        with monkeypatch.context() as patched:
+            patched.setattr(pair.service, "find", fail)
+            assert isinstance(await link.request(request()), Unanswered)
+        assert isinstance(await link.request(request()), Answered)
+        tasks.cancel_scope.cancel()
+
+
 async def test_leaving_relay_tells_the_proxies():
     """Guards against statements sent to a relay that refuses them."""
     pair = Pair()
