Follow the store through the readers of the own failure domain

Cause: every proxy of a large fleet watched the store and read each value itself. A configuration of 2,000 routes, 530 KB, was sent 88 times, half of that over the link between regions (30 Mbit/s): 6 s at least, then time-outs and repeated reads.

Ruled out: longer time-outs (the bound of 5 s is shorter than the transfer).

Change: readers keep the changes of their mirror; the other proxies ask one of them for changes after a revision, compressed. A reader whose last read is older than 4 s is not followed, and the store is asked instead.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/readers.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/readers.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterable
 
 from rosemaryward.decisions.hashing import stable_hash
-from rosemaryward.decisions.leadership.members import MemberRecord
+from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
 
-__all__ = ["everyone_reads", "readers_of"]
+__all__ = ["everyone_reads", "readers_for", "readers_of"]
 
 READERS_PER_DOMAIN = 2
 SMALL_FLEET = 12  # members; so many may read the store themselves
@@ -31,3 +31,26 @@
     near = [member for member in living if member.place.failure_domain == domain]
     near.sort(key=lambda member: (-member.capacity, stable_hash(member.name)))
     return near[:READERS_PER_DOMAIN]
+
+
+def readers_for(members: MemberDirectory, name: str, domain: str) -> list[MemberRecord]:
+    """Return the members that a proxy may follow, empty if it reads the store.
+
+    Registered members count while none of the domain is seen living, since a fleet
+    that starts again has no living ones at first.
+
+    Parameters
+    ----------
+    members : MemberDirectory
+    name : str
+        The proxy that asks; half of the proxies prefer each reader.
+    domain : str
+        Its failure domain.
+    """
+    registered = list(members.members.values())
+    if everyone_reads(registered):
+        return []
+    readers = readers_of(members.living(), domain) or readers_of(registered, domain)
+    if any(reader.name == name for reader in readers):
+        return []
+    return readers[::-1] if stable_hash(name) % 2 else readers
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -13,10 +13,10 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import StoreError
+from rosemaryward.decisions.mirror.following import ChangeHistory, MirrorSource
 from rosemaryward.decisions.mirror.store import (
     Changes,
     HistoryLostError,
-    LeaseStore,
     Listing,
     StoredValue,
 )
@@ -47,7 +47,8 @@
 
     Parameters
     ----------
-    store : LeaseStore
+    store : MirrorSource
+        Answers the reads that confirm.
     subscribers : mapping of str to Subscriber
         By prefix.
     confirmed_prefix : str
@@ -60,6 +61,8 @@
         0 if this process has to read.
     watch_pause_s : callable, optional
         Returns the pause in seconds after each watch that returned changes.
+    source : MirrorSource, optional
+        Tells everything but the reads that confirm; the store by default.
     clock : callable, optional
 
     Attributes
@@ -72,17 +75,20 @@
 
     def __init__(
         self,
-        store: LeaseStore,
+        store: MirrorSource,
         subscribers: Mapping[str, Subscriber],
         confirmed_prefix: str,
         on_confirmed: Callable[[float, Listing], None],
         ask_reader: Callable[[], Awaitable[int]] | None = None,
         watch_pause_s: Callable[[], float] = float,
+        source: MirrorSource | None = None,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.ask_reader = ask_reader or _read_oneself
         self.watch_pause_s = watch_pause_s
         self.store = store
+        self.source = source or store
+        self.history = ChangeHistory()
         self.subscribers = subscribers
         self.confirmed_prefix = confirmed_prefix
         self.on_confirmed = on_confirmed
@@ -103,7 +109,7 @@
 
     async def reload(self) -> None:
         """Read everything; raises `StoreError`."""
-        listing = await self.store.list(EVERYTHING)
+        listing = await self.source.list(EVERYTHING)
         present = {stored.key for stored in listing.values}
         for stored in listing.values:
             self._written(stored)
@@ -111,7 +117,7 @@
             # A key written after the listing began is not known to be removed.
             if key not in present and revision <= listing.revision:
                 self._removed(key, listing.revision)
-        self.revision = max(self.revision, listing.revision)
+        self._advance(listing.revision)
         self.loaded.set()
 
     def confirm_soon(self) -> None:
@@ -127,7 +133,7 @@
                         await self.reload()
                         self._note_reachable(True, "")
                         lost = False
-                    changes = await self.store.watch(
+                    changes = await self.source.watch(
                         EVERYTHING, self.revision, WATCH_WAIT_S
                     )
                     self._apply(changes)
@@ -195,7 +201,11 @@
             self._written(stored)
         for key, revision in changes.removed:
             self._removed(key, revision)
-        self.revision = max(self.revision, changes.revision)
+        self._advance(changes.revision)
+
+    def _advance(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self.history.advance(self.revision)
 
     def _written(self, stored: StoredValue) -> None:
         known = max(self.revisions.get(stored.key, 0), self.removals.get(stored.key, 0))
@@ -203,6 +213,7 @@
             return
         self.revisions[stored.key] = stored.revision
         self.removals.pop(stored.key, None)
+        self.history.write(stored)
         for prefix, subscriber in self.subscribers.items():
             if stored.key.startswith(prefix):
                 subscriber.written(stored)
@@ -212,6 +223,7 @@
             return
         del self.revisions[key]
         self.removals[key] = revision
+        self.history.remove(key, revision)
         for prefix, subscriber in self.subscribers.items():
             if key.startswith(prefix):
                 subscriber.removed(key)
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/fleet.py
@@ -26,17 +26,34 @@
     ReleaseReply,
     ReleaseRequest,
 )
+from rosemaryward.decisions.links import compress_if_smaller, decompress
+from rosemaryward.decisions.mirror import ChangesReply, ChangesRequest
 
 __all__ = ["FleetChannel", "FleetServer", "Reply", "Request"]
 
 REQUEST_TIMEOUT_S = 0.6  # a reach request includes a probe of an endpoint
 LENGTH_SIZE = 4  # bytes
-MAX_MESSAGE_SIZE = 64 * 1024  # bytes
+COMPRESSED = 1 << 31  # in the length
+MAX_MESSAGE_SIZE = 4 * 1024 * 1024  # bytes; all values of the store, compressed
+MAX_EXPANDED_SIZE = 64 * 1024 * 1024  # bytes
+TRANSFER_TIMEOUT_S = 3.0  # for a large configuration on a narrow link
 
 Request = (
-    FenceRequest | ReachRequest | ConfirmationRequest | ReleaseRequest | RecordNotice
+    FenceRequest
+    | ReachRequest
+    | ConfirmationRequest
+    | ReleaseRequest
+    | RecordNotice
+    | ChangesRequest
+)
+Reply = (
+    FenceReply
+    | ReachReply
+    | ConfirmationReply
+    | ReleaseReply
+    | RecordNoted
+    | ChangesReply
 )
-Reply = FenceReply | ReachReply | ConfirmationReply | ReleaseReply | RecordNoted
 
 log = structlog.get_logger(__name__)
 
@@ -87,10 +104,26 @@
             raise PeerError(f"{member.name}: expected a confirmation, got {reply!r}")
         return reply
 
-    async def _request(self, member: MemberRecord, request: Request) -> Reply:
+    async def changes(
+        self, member: MemberRecord, request: ChangesRequest
+    ) -> ChangesReply:
+        """Ask a member what changed in the store; raises `PeerError`."""
+        reply = await self._request(
+            member, request, request.wait_s + TRANSFER_TIMEOUT_S
+        )
+        if not isinstance(reply, ChangesReply):
+            raise PeerError(f"{member.name}: expected changes, got {reply!r}")
+        return reply
+
+    async def _request(
+        self,
+        member: MemberRecord,
+        request: Request,
+        timeout_s: float = REQUEST_TIMEOUT_S,
+    ) -> Reply:
         host, _, port = member.address.rpartition(":")
         try:
-            with anyio.fail_after(REQUEST_TIMEOUT_S):
+            with anyio.fail_after(timeout_s):
                 async with await anyio.connect_tcp(host, int(port)) as stream:
                     await _send(stream, request)
                     return _reply_decoder.decode(await _receive(stream))
@@ -135,13 +168,21 @@
 
 
 async def _send(stream: SocketStream, message: Request | Reply) -> None:
-    body = _encoder.encode(message)
-    await stream.send(len(body).to_bytes(LENGTH_SIZE, "big") + body)
+    body, compressed = compress_if_smaller(_encoder.encode(message))
+    length = len(body) | (COMPRESSED if compressed else 0)
+    await stream.send(length.to_bytes(LENGTH_SIZE, "big") + body)
 
 
 async def _receive(stream: SocketStream) -> bytes:
     reader = BufferedByteReceiveStream(stream)
-    length = int.from_bytes(await reader.receive_exactly(LENGTH_SIZE), "big")
+    header = int.from_bytes(await reader.receive_exactly(LENGTH_SIZE), "big")
+    length = header & ~COMPRESSED
     if length > MAX_MESSAGE_SIZE:
         raise PeerError(f"message of {length} bytes")
-    return await reader.receive_exactly(length)
+    body = await reader.receive_exactly(length)
+    if not header & COMPRESSED:
+        return body
+    try:
+        return decompress(body, MAX_EXPANDED_SIZE)
+    except ValueError as error:
+        raise PeerError(f"compressed message: {error}") from error
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -1,6 +1,8 @@
 """Proxy process on the users' platform: wires the adapter and the decisions."""
 
+import functools
 import secrets
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
@@ -25,10 +27,14 @@
     MemberRecord,
     ReleaseRequest,
 )
+from rosemaryward.decisions.leadership.readers import readers_for
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.sponsor import Sponsor
 from rosemaryward.decisions.leadership.supervisor import GroupSupervisor
 from rosemaryward.decisions.mirror import (
+    ChangesReply,
+    ChangesRequest,
+    FollowingSource,
     StoredValue,
     StoreMirror,
 )
@@ -78,6 +84,8 @@
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
+ReaderCall = Callable[[ChangesRequest], Awaitable[ChangesReply]]
+
 log = structlog.get_logger(__name__)
 
 
@@ -167,6 +175,7 @@
             self.registration.note_read,
             self.confirmation.ask_reader,
             self.confirmation.watch_pause_s,
+            FollowingSource(self.store, self._readers),
         )
         self.sponsor = Sponsor(
             settings.name,
@@ -343,9 +352,19 @@
             self.duty,
             self.directory,
             self.control,
+            self.mirror.history,
         )
         return FleetServer(self.settings.peer_address, requests.answer)
 
+    async def _readers(self) -> list[ReaderCall]:
+        """Return how to ask the proxies that read the store for this one."""
+        if not self.members.members:
+            await self.registration.refresh()
+        readers = readers_for(
+            self.members, self.settings.name, self.settings.place.failure_domain
+        )
+        return [functools.partial(self.peers.changes, reader) for reader in readers]
+
     def _connection_limit(self, group: str) -> int | None:
         """Return how many connections an endpoint of a group accepts from all."""
         configured = self.environment.groups.get(group)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
@@ -19,6 +19,7 @@
     ReleaseRequest,
 )
 from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.mirror import ChangeHistory, ChangesRequest
 from rosemaryward.peers.fleet import Reply, Request
 
 __all__ = ["MemberRequests"]
@@ -40,6 +41,8 @@
     duty : FailoverDuty
     directory : EndpointDirectory
     control : GroupControl
+    history : ChangeHistory
+        Of this proxy's mirror of the store.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         duty: FailoverDuty,
         directory: EndpointDirectory,
         control: GroupControl,
+        history: ChangeHistory,
     ) -> None:
+        self.history = history
         self.incarnation = incarnation
         self.leadership = leadership
         self.confirmation = confirmation
@@ -60,6 +65,9 @@
 
     async def answer(self, request: Request) -> Reply:
         """Return the reply to a request."""
+        if isinstance(request, ChangesRequest):
+            age_s = boot_time_s() - self.confirmation.read_at
+            return await self.history.answer(request, age_s)
         if isinstance(request, RecordNotice):
             self.leadership.observe(request.group, request.record, request.revision)
             return RecordNoted()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_requests.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_requests.py
@@ -15,6 +15,12 @@
     ReleaseRequest,
 )
 from rosemaryward.decisions.leadership.tests.fakes import Change, status
+from rosemaryward.decisions.mirror import (
+    ChangeHistory,
+    ChangesReply,
+    ChangesRequest,
+    StoredValue,
+)
 from rosemaryward.proxy.platform_requests import MemberRequests
 
 
@@ -30,6 +36,7 @@
     def __init__(self, statuses):
         self.parts = Change(statuses)
         self.duty = Duty()
+        self.history = ChangeHistory()
         self.requests = MemberRequests(
             "inc-1",
             self.parts.leadership,
@@ -37,6 +44,7 @@
             self.duty,
             self.parts.directory,
             self.parts.control,
+            self.history,
         )
 
 
@@ -80,3 +88,13 @@
         member.parts.directory.pools["i-1"].answered_at = boot_time_s()
     reply = await member.requests.answer(ReachRequest("i-1"))
     assert reply.answered is answered
+
+
+async def test_followers_are_told_what_the_mirror_knows():
+    """Guards against a proxy that follows this one and misses a change."""
+    member = Member({})
+    member.history.write(StoredValue("op/k", b"1", 5))
+    member.history.advance(5)
+    reply = await member.requests.answer(ChangesRequest(0, 0.1))
+    assert isinstance(reply, ChangesReply)
+    assert reply.written == [StoredValue("op/k", b"1", 5)]
