--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/following.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/following.py
@@ -31,7 +31,7 @@
 
 EVENT_LIMIT = 4000
 FEED_WAIT_S = 5.0  # so long does a reader keep a request without changes
-LOAD_WAIT_S = 1.0  # for a reader that starts at the same time
+LOAD_WAIT_S = 3.0  # for a reader that starts at the same time
 READ_AGE_LIMIT_S = 4.0  # a reader whose last read is older has lost the store
 
 log = structlog.get_logger(__name__)
