Watch anew before reading everything when a large fleet's watch is behind

Change: in a large fleet a watch that is behind is first begun anew after the revision that is known; only the second time all is read. Small fleets read at once, as before.

Tests: test_watch_behind_the_store.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -89,6 +89,8 @@
         self.store = store
         self.source = source or store
         self.history = ChangeHistory()
+        self.behind = 0
+        self.reload_next = True
         self.subscribers = subscribers
         self.confirmed_prefix = confirmed_prefix
         self.on_confirmed = on_confirmed
@@ -145,7 +147,7 @@
                     self._note_reachable(False, str(error))
                     await anyio.sleep(RETRY_PAUSE_S)
             if self.watch_scope.cancelled_caught:
-                lost = True
+                lost = self.reload_next
 
     async def _confirm(self) -> None:
         await self.loaded.wait()
@@ -188,7 +190,12 @@
 
     def _check_watch(self, revision: int) -> None:
         if self.revision >= revision or self.watch_scope is None:
+            self.behind = 0
             return
+        self.behind += 1
+        # All values of a large fleet's store choke a narrow link, so a new watch comes
+        # first; a small fleet reads at once what a silent watch kept back.
+        self.reload_next = not self.watch_pause_s() or self.behind > 1
         log.warning(
             "watch behind the store",
             watch_revision=self.revision,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -1,4 +1,5 @@
 import anyio
+import pytest
 
 from rosemaryward.decisions.errors import StoreError
 from rosemaryward.decisions.mirror import (
@@ -220,3 +221,38 @@
         await until(lambda: len(subscriber.values) == 10)
         tasks.cancel_scope.cancel()
     assert len(watches) <= 3
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "listings"),
+    [
+        pytest.param(0.0, 2, id="small-fleet-reads-all-at-once"),
+        pytest.param(0.01, 1, id="large-fleet-watches-anew-first"),
+    ],
+)
+async def test_watch_behind_the_store(pause_s, listings):
+    """Guards against full reads by a large fleet whenever a link is congested."""
+    store = Store()
+    everything = []
+    original = store.list
+
+    async def list_(prefix):
+        if not prefix:
+            everything.append(store.revision)
+        return await original(prefix)
+
+    store.list = list_
+    subscriber = Subscriber()
+    mirror = StoreMirror(
+        store, {"": subscriber}, "c/", lambda *_: None, watch_pause_s=lambda: pause_s
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await until(lambda: everything)
+        store.silent = True
+        store.put("d/b", b"2")
+        await until(lambda: mirror.behind == 1)
+        store.silent = False
+        await until(lambda: "d/b" in subscriber.values)
+        tasks.cancel_scope.cancel()
+    assert len(everything) == listings
