--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
@@ -16,6 +16,12 @@
 from rosemaryward.bench.launch.processes import Child, start_child
 from rosemaryward.bench.soak.links import Link
 from rosemaryward.bench.web import serve_http
+from rosemaryward.platform.configuration import (
+    CONFIGURATION_KEY,
+    REGISTRATION_PREFIX,
+)
+from rosemaryward.platform.readiness import READINESS_PATH
+from rosemaryward.platform.settings import SETTINGS_VARIABLE
 from rosemaryward.platform.standins.documents import configuration, settings_file
 from rosemaryward.platform.standins.group import StandInGroup, StandInInstance
 from rosemaryward.platform.standins.store import StandInStore
@@ -99,7 +105,7 @@
     async def supervise(self, settings: Path, logs: Path, root: Path) -> None:
         """Keep the process running until cancelled or told to stop."""
         command = [sys.executable, str(root / "deploy" / "proxy.py")]
-        environment = {"ROSEMARYWARD_BOOT": str(settings)}
+        environment = {SETTINGS_VARIABLE: str(settings)}
         while not self.stopping:
             self.child = start_child(self.name, command, logs, environment)
             self.starts += 1
@@ -109,7 +115,7 @@
 
     async def is_ready(self) -> bool:
         """Return whether the process reports itself ready."""
-        url = f"http://127.0.0.1:{self.ports[1]}/ready"
+        url = f"http://127.0.0.1:{self.ports[1]}{READINESS_PATH}"
         try:
             async with httpx.AsyncClient(timeout=READY_TIMEOUT_S) as client:
                 return (await client.get(url)).status_code == STATUS_READY
@@ -175,7 +181,7 @@
         """Write the next configuration."""
         self.version += random.randrange(1, 4)
         value = configuration(self.version, GROUP, self.max_connections, extra_routes)
-        self.store.put("op/config", value)
+        self.store.put(CONFIGURATION_KEY, value)
 
     async def wait_until_ready(self, timeout_s: float) -> list[str]:
         """Return the names of the proxies that are not ready in time."""
@@ -228,7 +234,7 @@
             await anyio.sleep(HEARTBEAT_S)
 
     def _register(self, instance: StandInInstance) -> None:
-        key = f"servers/{instance.name}"
+        key = REGISTRATION_PREFIX + instance.name
         if not instance.alive:
             since = self.absent_since.setdefault(instance.name, time.monotonic())
             if time.monotonic() - since > REGISTRATION_GRACE_S:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_following.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_following.py
@@ -117,7 +117,7 @@
 async def test_follower_learns_everything_through_its_reader():
     """Guards against a configuration that each proxy reads over a narrow link."""
     reader = Reader()
-    reader.store.put("op/k", b"1")
+    reader.store.put("k", b"1")
     subscriber = Subscriber()
     follower = StoreMirror(
         reader.store,
@@ -129,10 +129,10 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(reader.mirror.run)
         tasks.start_soon(follower.run)
-        await until(lambda: subscriber.values == {"op/k": b"1"})
-        reader.store.put("op/k", b"2")
-        await until(lambda: subscriber.values == {"op/k": b"2"})
-        reader.store.drop("op/k")
+        await until(lambda: subscriber.values == {"k": b"1"})
+        reader.store.put("k", b"2")
+        await until(lambda: subscriber.values == {"k": b"2"})
+        reader.store.drop("k")
         await until(lambda: subscriber.values == {})
         tasks.cancel_scope.cancel()
 
@@ -151,9 +151,9 @@
     for name, setting in fault.items():
         setattr(reader, name, setting)
     store = Store()
-    store.put("op/k", b"1")
+    store.put("k", b"1")
     source = follow(reader, store)
-    assert (await source.list("")) == Listing([value_of(store, "op/k")], store.revision)
+    assert (await source.list("")) == Listing([value_of(store, "k")], store.revision)
 
 
 def value_of(store, key):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_requests.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_requests.py
@@ -93,8 +93,8 @@
 async def test_followers_are_told_what_the_mirror_knows():
     """Guards against a proxy that follows this one and misses a change."""
     member = Member({})
-    member.history.write(StoredValue("op/k", b"1", 5))
+    member.history.write(StoredValue("k", b"1", 5))
     member.history.advance(5)
     reply = await member.requests.answer(ChangesRequest(0, 0.1))
     assert isinstance(reply, ChangesReply)
-    assert reply.written == [StoredValue("op/k", b"1", 5)]
+    assert reply.written == [StoredValue("k", b"1", 5)]
