Log what ends a proxy and whether signals arrive during its drain

Change: 'proxy failed' with the error before the process ends; 'signal received' says whether the proxy drains.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -18,6 +18,8 @@
 
 EXIT_USAGE = 2
 
+log = structlog.get_logger(__name__)
+
 
 def main() -> None:
     """Run a proxy until SIGTERM or SIGINT."""
@@ -29,20 +31,29 @@
         raise SystemExit(EXIT_USAGE) from error
     configure_bounded_logging(settings.name)
     node = PlatformNode(settings, path)
-    anyio.run(run_node, node, backend_options={"loop_factory": uvloop.new_event_loop})
+    try:
+        anyio.run(
+            run_node, node, backend_options={"loop_factory": uvloop.new_event_loop}
+        )
+    except Exception as error:
+        log.error("proxy failed", draining=node.is_draining, error=repr(error))
+        raise
 
 
 async def run_node(node: PlatformNode) -> None:
     """Run a proxy until SIGTERM or SIGINT; SIGHUP reloads the settings."""
     stopping = anyio.Event()
-    log = structlog.get_logger(__name__)
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(node.run, stopping)
         with anyio.open_signal_receiver(
             signal.SIGTERM, signal.SIGINT, signal.SIGHUP
         ) as signals:
             async for number in signals:
-                log.info("signal received", signal=signal.Signals(number).name)
+                log.info(
+                    "signal received",
+                    signal=signal.Signals(number).name,
+                    draining=node.is_draining,
+                )
                 if number == signal.SIGHUP:
                     node.reload()
                 else:
