Handle signals until the drain has ended

Callers saw: connections of a proxy that drains closed without an answer while instances ran their statements (LOST), 0.6 s after the SIGTERM with 6 s of grace. Cause: run_node left the signal receiver at the first SIGTERM, which restores the default actions. The next SIGHUP, SIGTERM or SIGINT ended the process in the middle of its drain. Change: the receiver surrounds the whole life of the node; a second SIGTERM or SIGINT has no further effect, SIGHUP reloads the settings as always.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import anyio
@@ -42,23 +43,27 @@
 
 async def run_node(node: PlatformNode) -> None:
     """Run a proxy until SIGTERM or SIGINT; SIGHUP reloads the settings."""
-    stopping = anyio.Event()
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(node.run, stopping)
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
-            async for number in signals:
-                log.info(
-                    "signal received",
-                    signal=signal.Signals(number).name,
-                    draining=node.is_draining,
-                )
-                if number == signal.SIGHUP:
-                    node.reload()
-                else:
-                    stopping.set()
-                    break
+    # The receiver stays open until the drain has ended, because its exit restores the
+    # default actions, with which a further signal would end the process.
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
+        async with anyio.create_task_group() as tasks:
+            stopping = anyio.Event()
+            tasks.start_soon(_handle_signals, signals, node, stopping)
+            await node.run(stopping)
+            tasks.cancel_scope.cancel()
+
+
+async def _handle_signals(
+    signals: AsyncIterator[signal.Signals], node: PlatformNode, stopping: anyio.Event
+) -> None:
+    async for number in signals:
+        log.info("signal received", signal=number.name, draining=node.is_draining)
+        if number == signal.SIGHUP:
+            node.reload()
+        else:
+            stopping.set()
 
 
 if __name__ == "__main__":
