--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
@@ -1,8 +1,10 @@
 """Signals sent to real proxy processes on the platform's test doubles."""
 
 import json
+import os
 import signal
 import socket
+import subprocess
 import sys
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -22,6 +24,18 @@
 EXIT_TIMEOUT_S = 20.0
 STATEMENT_TIMEOUT_S = 2.5
 EXIT_FAILED = 1
+EXIT_USAGE = 2
+SIGNAL_DURING_IMPORTS = """
+import os, runpy, signal, sys
+
+class SignalOnImport:
+    def find_spec(self, name, path=None, target=None):
+        if name == "rosemaryward.proxy.platform_main":
+            os.kill(os.getpid(), signal.SIGHUP)
+
+sys.meta_path.insert(0, SignalOnImport())
+runpy.run_path(sys.argv[1], run_name="__main__")
+"""
 
 
 @asynccontextmanager
@@ -98,6 +112,19 @@
         ]
 
 
+def test_reload_signal_during_imports_does_not_end_the_process():
+    """Guards against a SIGHUP that ends a proxy before its handlers are installed."""
+    environment = {**os.environ, SETTINGS_VARIABLE: "/nonexistent/settings.json"}
+    process = subprocess.run(
+        [sys.executable, "-c", SIGNAL_DURING_IMPORTS, str(PROXY_SCRIPT)],
+        env=environment,
+        capture_output=True,
+        timeout=EXIT_TIMEOUT_S,
+        check=False,
+    )
+    assert process.returncode == EXIT_USAGE, process.stderr.decode()
+
+
 async def test_unexpected_error_is_logged_before_the_process_ends(tmp_path):
     """Guards against a process that ends without a line that says why."""
     with socket.create_server(("127.0.0.1", 0)) as occupied:
