Show that a change of primary may lose a commit of an ended proxy

Cause: acknowledged positions live in the memory of each proxy. A change with a silent replica promotes a replica that has all positions reported by the fenced processes; the positions of a process that was stopped or killed in the same epoch are not among them. Result: the test promotes i-2 at 1.4 although 1.5 was acknowledged. Not shown to be what the users saw.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import anyio
 import pytest
 
@@ -59,6 +61,17 @@
         await run.run()
 
 
+async def test_commit_acknowledged_by_an_ended_process_is_not_lost():
+    """Guards against a silent replica that alone has a commit of an ended proxy."""
+    run = ChangeScenario({"i-2": status(1, 4)})
+    run.members.observe(member("proxy-2", "inc-new"), 3)
+    run.peers.fenced["proxy-1"] = LogPosition(1, 4)
+    run.peers.fenced["proxy-2"] = LogPosition()  # its old process acknowledged 1.5
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run()
+    assert run.promoter.calls == []
+
+
 async def test_leaving_replica_is_not_promoted():
     """Guards against a primary that is about to stop."""
     run = ChangeScenario({"i-2": status(1, 6), "i-3": status(1, 6)})
