Refuse statements that cross the end of a session

A drain that ended in order reset connections with a statement that the caller had just sent.

Cause: `CallerSession.end` cancelled the wait for the next statement, and the connection was aborted at once. A statement still on its way, or unread, met a closed socket: a reset with neither an answer nor a "not run". The same holds for sessions that `_clean_up` ends.

Change: a session that ends sends `ERROR BUSY not run: ...` unasked. If a statement crosses it, the session completes the refusal with `READY`, does not run the statement, refuses the next one in advance, and reads until the caller disconnects, for at most 1 s. An abandoned transaction is rolled back first and refused with `ABORTED`. `drain` refuses start-ups once it ends sessions, waits for connections that are in their start-up, and stops listening before it removes the registration. Refused statements are logged by `statement answered` with the state of the session; a caller that stays is logged by `caller did not disconnect`, within the same limit.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from rosemaryward.decisions.gateway.environment import Route
-from rosemaryward.decisions.gateway.outcomes import Reply
+from rosemaryward.decisions.gateway.outcomes import ConnectionState, Reply
 from rosemaryward.decisions.gateway.statements import Statement
 from rosemaryward.decisions.gateway.targets import Target
 
@@ -44,3 +44,18 @@
         took_s : float
             Time from receiving the statement to sending the reply, in seconds.
         """
+
+    def closed_by_proxy(
+        self, database: str, state: ConnectionState, reason: str
+    ) -> None:
+        """Record that a caller did not disconnect when its session ended.
+
+        Parameters
+        ----------
+        database : str
+            Database of the session.
+        state : ConnectionState
+            State of the session.
+        reason : str
+            Why the session ended.
+        """
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -30,6 +30,8 @@
 TRANSACTION = ConnectionState.TRANSACTION
 FAILED_TRANSACTION = ConnectionState.FAILED_TRANSACTION
 BEGIN_KINDS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
+END_KINDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
+DISCONNECT_TIMEOUT_S = 1.0  # several round trips between the farthest regions
 
 
 class CallerChannel(Protocol):
@@ -41,6 +43,16 @@
     async def send(self, statement: Statement, reply: Reply) -> None:
         """Send the reply to a statement."""
 
+    async def announce_end(self, refusal: Reply) -> None:
+        """Ask the caller to disconnect, and refuse its next statement in advance.
+
+        The refusal is sent without its final state, so that a statement that
+        crosses it can be answered by `complete_refusal`.
+        """
+
+    async def complete_refusal(self, state: ConnectionState) -> None:
+        """Send the state after a statement that `announce_end` has refused."""
+
 
 class CallerSession:
     """Serves the statements of one caller until it disconnects.
@@ -66,10 +78,13 @@
     ----------
     transaction : Transaction or None
         Open transaction of the caller.
-    ending : bool
-        Whether to close as soon as no statement and no transaction is open.
+    end_reason : str
+        Why to close as soon as no statement and no transaction is open, empty if
+        the session goes on.
     receive_scope : anyio.CancelScope or None
         Cancels the wait for the next statement, None while a statement runs.
+    interrupted : bool
+        Whether `end` cancelled the wait for the next statement.
     """
 
     def __init__(
@@ -90,8 +105,9 @@
         self.observer = observer
         self.clock = clock
         self.transaction: Transaction | None = None
-        self.ending = False
+        self.end_reason = ""
         self.receive_scope: anyio.CancelScope | None = None
+        self.interrupted = False
 
     @property
     def state(self) -> ConnectionState:
@@ -100,26 +116,31 @@
             return IDLE
         return FAILED_TRANSACTION if self.transaction.failed else TRANSACTION
 
-    def end(self, abandon_transaction: bool = False) -> None:
+    def end(self, reason: str, abandon_transaction: bool = False) -> None:
         """Close the session as soon as no statement and no transaction is open.
 
         Parameters
         ----------
+        reason : str
+            Why the session ends, told to the caller.
         abandon_transaction : bool
             Whether to close it with an open transaction too, if no statement runs.
         """
-        self.ending = True
+        self.end_reason = reason
         if self.receive_scope is not None and (
             self.transaction is None or abandon_transaction
         ):
+            self.interrupted = True
             self.receive_scope.cancel()
 
     async def run(self) -> None:
         """Serve statements until the caller disconnects or the session ends."""
         try:
-            while not (self.ending and self.transaction is None):
+            while not (self.end_reason and self.transaction is None):
                 statement = await self._receive()
                 if statement is None:
+                    if self.interrupted:
+                        break
                     return
                 started_at = self.clock()
                 reply, route, endpoint = await self._serve(statement, started_at)
@@ -132,10 +153,46 @@
                     )
                 if statement.kind in BEGIN_KINDS and reply.failure is None:
                     await self._open_transaction_early(statement)
+            await self._close()
         finally:
             if self.transaction is not None:
                 await self.transaction.roll_back()
 
+    async def _close(self) -> None:
+        """Refuse whatever the caller still sends, until it disconnects.
+
+        A connection that is closed with unread bytes is reset, and the caller of a
+        statement among them could not know whether it ran.
+        """
+        if self.transaction is not None:
+            await self.transaction.roll_back()
+            self.transaction.failed = True
+        with anyio.move_on_after(DISCONNECT_TIMEOUT_S) as scope:
+            await self.channel.announce_end(self._refusal())
+            while (statement := await self.channel.receive()) is not None:
+                await self._refuse(statement)
+        if scope.cancelled_caught:
+            self.observer.closed_by_proxy(self.database, self.state, self.end_reason)
+
+    async def _refuse(self, statement: Statement) -> None:
+        """Complete the refusal of a statement, and refuse the next one."""
+        refusal = self._refusal()
+        if statement.kind in END_KINDS:
+            self.transaction = None
+        await self.channel.complete_refusal(self.state)
+        route = self.environment().routes.get(self.database)
+        if route is not None:
+            self.observer.answered(statement, route, "", None, refusal, 0.0)
+        await self.channel.announce_end(self._refusal())
+
+    def _refusal(self) -> Reply:
+        """Return the reply to a statement that arrives after the end."""
+        if self.transaction is None:
+            reason = f"not run: {self.end_reason}"
+            return self._failure_reply(Failure.BUSY, reason)
+        reason = f"the transaction was rolled back: {self.end_reason}"
+        return self._failure_reply(Failure.ROLLED_BACK, reason)
+
     async def _open_transaction_early(self, statement: Statement) -> None:
         """Open a transaction at an endpoint before its first statement arrives."""
         transaction = self.transaction
@@ -162,12 +219,13 @@
             with anyio.CancelScope() as scope:
                 if deadline is not None:
                     scope.deadline = deadline
+                self.interrupted = False
                 self.receive_scope = scope
                 statement = await self.channel.receive()
             self.receive_scope = None
             if not scope.cancelled_caught:
                 return statement
-            if deadline is None or anyio.current_time() < deadline:
+            if self.interrupted:
                 return None
             if self.transaction is not None:
                 self.transaction.failed = True
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -1,6 +1,7 @@
 """In-memory replication group behind the gateway's connector interface."""
 
 import anyio
+import msgspec
 
 from rosemaryward.decisions.gateway.connections import EndpointPool
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
@@ -181,11 +182,18 @@
     async def send(self, statement, reply):
         self.replies.append(reply)
 
+    async def announce_end(self, refusal):
+        self.refusal = refusal
+
+    async def complete_refusal(self, state):
+        self.replies.append(msgspec.structs.replace(self.refusal, state=state))
+
 
 class FakeObserver:
     def __init__(self):
         self.attempts = []
         self.answers = []
+        self.overdue = []
 
     def attempt_failed(self, statement, route, endpoint, reason):
         self.attempts.append((endpoint, reason))
@@ -193,6 +201,9 @@
     def answered(self, statement, route, endpoint, target, reply, took_s):
         self.answers.append((endpoint, reply))
 
+    def closed_by_proxy(self, database, state, reason):
+        self.overdue.append((database, state, reason))
+
 
 def make_route(policy, max_staleness_s=1.5, timeout_s=0.5):
     return Route(
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -77,6 +77,8 @@
 MAX_LOCK_DELAY_S = 0.3
 LOAD_BALANCER_REMOVAL_S = 2.2  # two failed probes, one per second
 EXIT_MARGIN_S = 0.7  # end of the grace period, kept for releasing the lock
+SHUTDOWN = "the proxy is shutting down"
+UNCONFIRMED = "the proxy cannot confirm the primaries"
 TRANSACTION_GRACE_FRACTION = 0.45  # of the grace period, for open transactions
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
@@ -195,7 +197,9 @@
             self.mirror.confirm_now,
         )
         self.sessions: set[CallerSession] = set()
-        self.session_ended = anyio.Event()
+        self.caller_server = LineCallerServer(
+            settings.caller_address, self._has_route, self._serve_caller
+        )
         self.supervised_groups: set[str] = set()
         self.is_draining = False
 
@@ -236,7 +240,7 @@
         async with self.store, anyio.create_task_group() as tasks:
             for task in (
                 self.connector.run,
-                self._create_caller_server().run,
+                self.caller_server.run,
                 self._create_readiness_server().run,
                 self._create_metrics_server().run,
                 self._create_member_server().run,
@@ -289,18 +293,20 @@
         await self.failover_lock.release()
         self.relay_server.leave()
         await anyio.sleep(LOAD_BALANCER_REMOVAL_S)
+        self.caller_server.refuse_callers(SHUTDOWN)
         for session in list(self.sessions):
-            session.end()
+            session.end(SHUTDOWN)
         await self._wait_for_sessions(started_at + grace_s * TRANSACTION_GRACE_FRACTION)
         for session in list(self.sessions):
-            session.end(abandon_transaction=True)
+            session.end(SHUTDOWN, abandon_transaction=True)
         await self._wait_for_sessions(started_at + grace_s - EXIT_MARGIN_S)
+        self.caller_server.stop_listening()
         with anyio.move_on_after(EXIT_MARGIN_S / 2):
             await self.registration.remove()
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
 
     async def _wait_for_sessions(self, until: float) -> None:
-        """Wait until no session or relayed work is left.
+        """Wait until no caller or relayed work is left.
 
         Parameters
         ----------
@@ -308,8 +314,7 @@
             Boot time in seconds at which to stop waiting.
         """
         with anyio.move_on_after(max(until - boot_time_s(), 0.0)):
-            while self.sessions:
-                await self.session_ended.wait()
+            await self.caller_server.wait_until_idle()
             await self.relay_service.wait_until_idle()
 
     def is_ready(self) -> bool:
@@ -320,13 +325,6 @@
 
     # Servers
 
-    def _create_caller_server(self) -> LineCallerServer:
-        return LineCallerServer(
-            self.settings.caller_address,
-            self._has_route,
-            self._serve_caller,
-        )
-
     async def _has_route(self, database: str) -> bool | None:
         """Return whether a database has a route, None without a configuration."""
         with anyio.move_on_after(FIRST_CONFIGURATION_TIMEOUT_S):
@@ -346,13 +344,13 @@
             lambda: self.environment,
             self.statement_log,
         )
+        if self.caller_server.refusal:
+            session.end(self.caller_server.refusal)
         self.sessions.add(session)
         try:
             await session.run()
         finally:
             self.sessions.discard(session)
-            self.session_ended.set()
-            self.session_ended = anyio.Event()
 
     def _create_readiness_server(self) -> HttpServer:
         def answer() -> tuple[int, bytes]:
@@ -466,7 +464,7 @@
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
                 for session in list(self.sessions):
-                    session.end()
+                    session.end(UNCONFIRMED)
 
     async def _supervise(self) -> None:
         """Start a supervisor for each replication group that appears."""
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
@@ -5,7 +5,12 @@
 import structlog
 
 from rosemaryward.decisions.gateway.environment import Route
-from rosemaryward.decisions.gateway.outcomes import NOT_RUN, Failure, Reply
+from rosemaryward.decisions.gateway.outcomes import (
+    NOT_RUN,
+    ConnectionState,
+    Failure,
+    Reply,
+)
 from rosemaryward.decisions.gateway.statements import Statement
 from rosemaryward.decisions.gateway.targets import Target
 from rosemaryward.decisions.leadership.records import Leadership
@@ -104,11 +109,27 @@
             configuration=self.configuration_version(),
             outcome=outcome,
             failure=reply.failure and reply.failure.name,
+            state=reply.state.name,
             reason=reply.reason,
             took_s=round(took_s, 4),
             left_out=left_out,
         )
 
+    def closed_by_proxy(
+        self, database: str, state: ConnectionState, reason: str
+    ) -> None:
+        """Log that a caller did not disconnect when its session ended."""
+        left_out = self.failure_budget.take()
+        if left_out is None:
+            return
+        log.info(
+            "caller did not disconnect",
+            database=database,
+            state=state.name,
+            reason=reason,
+            left_out=left_out,
+        )
+
     def _outcome(self, failure: Failure | None) -> str:
         if failure is None:
             return "done"
