Let planned work overlap in the fault soak and check how processes end

Only statements sent within 1 s of the SIGTERM counted, statements took 4 ms and sessions ended after at most 11 operations, no SIGTERM met a drain on purpose, and how a process ended was not looked at.

Change: series of planned work (terminate in turn, reload, terminate again, signals to a starting process, configurations) run at the same time; every other seed has nothing else. Sessions then last until their proxy closes them. Checked in all runs: a process does not end by itself; after SIGTERM it ends with status 0 after `drain ends` and `proxy stops`; a statement on an open connection gets a reply unless an unplanned fault was active within 4 s. Statements that no instance ran and that an orderly drain left without a reply are reported apart as dropped. The selection of seed 3 and the existing checks and bounds are unchanged.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/callers.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/callers.py
@@ -5,9 +5,14 @@
 
 import anyio
 
+from rosemaryward.bench.soak.endings import LostReply
 from rosemaryward.bench.soak.fleet import Fleet, Proxy
 from rosemaryward.bench.soak.history import Operation, StatementRecord
-from rosemaryward.platform.fakes.caller import FakeCaller, ReplyLostError
+from rosemaryward.platform.fakes.caller import (
+    CallerReply,
+    FakeCaller,
+    ReplyLostError,
+)
 from rosemaryward.platform.fakes.documents import ROUTE_TYPES
 
 __all__ = ["Callers"]
@@ -27,6 +32,10 @@
         Proxies that the sessions connect to.
     rng : random.Random
         Selects proxies, databases, statements and pauses.
+    keep_sessions : bool
+        Whether each session lasts until its proxy closes the connection.
+    is_balanced : bool
+        Whether new sessions avoid the proxies that the load balancer has removed.
 
     Attributes
     ----------
@@ -34,17 +43,28 @@
         Operations of all sessions in the order in which they began.
     unanswered : list of tuple of Proxy and StatementRecord
         Statements without a complete reply, each with the proxy that it was sent to.
+    lost_replies : list of LostReply
+        The same, also for session variables and the begin of transactions.
     sessions : int
         Number of sessions started.
     stopping : bool
         Set by the owner to end all sessions after their present operation.
     """
 
-    def __init__(self, fleet: Fleet, rng: random.Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        rng: random.Random,
+        keep_sessions: bool = False,
+        is_balanced: bool = False,
+    ) -> None:
         self.fleet = fleet
         self.rng = rng
+        self.keep_sessions = keep_sessions
+        self.is_balanced = is_balanced
         self.operations: list[Operation] = []
         self.unanswered: list[tuple[Proxy, StatementRecord]] = []
+        self.lost_replies: list[LostReply] = []
         self.sessions = 0
         self.stopping = False
 
@@ -56,7 +76,13 @@
 
     async def _run_caller(self) -> None:
         while not self.stopping:
-            proxy = self.rng.choice(self.fleet.proxies)
+            proxies = self.fleet.proxies
+            if self.is_balanced:
+                proxies = [proxy for proxy in proxies if not proxy.is_removed]
+            if not proxies:
+                await anyio.sleep(MEAN_PAUSE_S)
+                continue
+            proxy = self.rng.choice(proxies)
             try:
                 await self._run_session(proxy)
             except ReplyLostError:
@@ -69,20 +95,20 @@
         values: dict[str, str] = {}
         async with FakeCaller(proxy.address, database) as caller:
             if self.rng.random() < 0.4:
-                reply = await caller.query(f"SET tag {number}", STATEMENT_TIMEOUT_S)
+                reply = await self._query(proxy, caller, f"SET tag {number}")
                 if reply.code:
                     return
                 values["tag"] = str(number)
-            for _ in range(self.rng.randrange(1, SESSION_OPERATIONS_LIMIT)):
-                if self.stopping:
-                    return
+            left = self.rng.randrange(1, SESSION_OPERATIONS_LIMIT)
+            while (left or self.keep_sessions) and not self.stopping:
+                left = max(left - 1, 0)
                 operation = Operation(
                     number, database, dict(values), time.monotonic(), []
                 )
                 self.operations.append(operation)
                 if not await self._run_operation(proxy, caller, operation):
                     return
-                await anyio.sleep(self.rng.expovariate(1 / MEAN_PAUSE_S))
+                await caller.pause(self.rng.expovariate(1 / MEAN_PAUSE_S))
 
     async def _run_operation(
         self, proxy: Proxy, caller: FakeCaller, operation: Operation
@@ -95,17 +121,17 @@
             return not statement.code or statement.code in ("BUSY", "FAILED")
         operation.transaction = True
         texts = [self._random_statement() for _ in range(self.rng.randrange(1, 5))]
-        reply = await caller.query("BEGIN", STATEMENT_TIMEOUT_S)
+        reply = await self._query(proxy, caller, "BEGIN")
         if reply.code:
             return False
         for text in texts:
             if (await self._run_statement(proxy, caller, operation, text)).code:
                 return False
-            await anyio.sleep(self.rng.expovariate(1 / MEAN_PAUSE_S))
+            await caller.pause(self.rng.expovariate(1 / MEAN_PAUSE_S))
         if self.rng.random() < 0.1:
             return False  # closes the connection with the transaction open
         if self.rng.random() < 0.1:
-            reply = await caller.query("ROLLBACK", STATEMENT_TIMEOUT_S)
+            reply = await self._query(proxy, caller, "ROLLBACK")
             operation.expects_no_effect = not reply.code
             return not reply.code
         return not (await self._run_statement(proxy, caller, operation, "COMMIT")).code
@@ -116,6 +142,18 @@
             return f"WRITE {item} {self.rng.getrandbits(48):x}"
         return f"READ {item}"
 
+    async def _query(self, proxy: Proxy, caller: FakeCaller, text: str) -> CallerReply:
+        """Send a statement and record it if its reply is lost."""
+        sent_at = time.monotonic()
+        try:
+            return await caller.query(text, STATEMENT_TIMEOUT_S)
+        except ReplyLostError as error:
+            lost = LostReply(
+                proxy.name, str(error), text, sent_at, time.monotonic(), caller.is_open
+            )
+            self.lost_replies.append(lost)
+            raise
+
     async def _run_statement(
         self, proxy: Proxy, caller: FakeCaller, operation: Operation, text: str
     ) -> StatementRecord:
@@ -123,7 +161,7 @@
         statement = StatementRecord("", text, time.monotonic())
         operation.statements.append(statement)
         try:
-            reply = await caller.query(text, STATEMENT_TIMEOUT_S)
+            reply = await self._query(proxy, caller, text)
         except ReplyLostError as error:
             statement.request_id = str(error)
             self.unanswered.append((proxy, statement))
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/command.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/command.py
@@ -10,7 +10,7 @@
 import cappa
 import structlog
 
-from rosemaryward.bench.soak.run import SoakResult, soak
+from rosemaryward.bench.soak.run import FaultSelection, SoakResult, soak
 
 __all__ = ["SoakCommand"]
 
@@ -31,6 +31,10 @@
         float, cappa.Arg(long=True, help="Seconds of fault injection in each soak.")
     ] = 20.0
     proxies: Annotated[int, cappa.Arg(long=True, help="Number of proxy processes.")] = 6
+    selection: Annotated[
+        FaultSelection | None,
+        cappa.Arg(long=True, help="What is injected; by default the seed decides."),
+    ] = None
     root: Annotated[Path, cappa.Arg(long=True, help="Checkout to test.")] = field(
         default_factory=Path.cwd
     )
@@ -48,11 +52,12 @@
                     logger_factory=structlog.PrintLoggerFactory(log_file)
                 )
                 result = anyio.run(self._run, seed, folder)
-            failed_soaks += bool(result.violations)
+            failed_soaks += bool(result.violations or result.dropped)
         print(f"{self.seeds} soaks, {failed_soaks} with a violated guarantee")
         raise cappa.Exit(code=int(failed_soaks > 0))
 
     async def _run(self, seed: int, folder: Path) -> SoakResult:
+        selection = self.selection or FaultSelection.of_seed(seed)
         result = await soak(
             seed,
             self.duration_s,
@@ -60,14 +65,16 @@
             self.proxies * CALLERS_PER_PROXY,
             folder,
             self.root,
+            selection,
         )
         print(
-            f"seed {seed}: {result.operations} operations, {result.succeeded} "
-            f"statements succeeded, {result.faults} faults, instances accept "
-            f"{result.max_connections} connections, "
-            f"{len(result.violations)} violations; logs in {folder}",
+            f"seed {seed} ({selection.value}): {result.operations} operations, "
+            f"{result.succeeded} statements succeeded, {result.faults} faults, "
+            f"instances accept {result.max_connections} connections, "
+            f"{len(result.violations)} violations, {len(result.dropped)} statements "
+            f"dropped; logs in {folder}",
             flush=True,
         )
-        for line in result.violations:
+        for line in result.violations + result.dropped:
             print(f"  {line}")
         return result
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -90,13 +90,15 @@
                 tasks.start_soon(self.rng.choice(self.kinds))
                 await anyio.sleep(self.rng.uniform(*PAUSE_RANGE_S))
 
-    def _begin(self, kind: str, target: str, planned: bool = False) -> FaultRecord:
+    def begin(self, kind: str, target: str, planned: bool = False) -> FaultRecord:
+        """Record and log the start of a fault."""
         record = FaultRecord(kind, target, time.monotonic(), planned=planned)
         self.records.append(record)
         log.info("fault begins", kind=kind, target=target)
         return record
 
-    def _end(self, record: FaultRecord) -> None:
+    def end(self, record: FaultRecord) -> None:
+        """Record and log the end of a fault."""
         record.ended_at = time.monotonic()
         log.info("fault ends", kind=record.kind, target=record.target)
 
@@ -108,45 +110,46 @@
 
     async def terminate(self) -> None:
         """Terminate a proxy as for planned maintenance."""
-        await self._terminate(self._random_proxy())
+        await self.terminate_proxy(self._random_proxy())
 
     async def terminate_several(self) -> None:
         """Terminate three proxies, one after the other."""
         for proxy in self.rng.sample(self.fleet.proxies, k=3):
-            await self._terminate(proxy)
+            await self.terminate_proxy(proxy)
 
-    async def _terminate(self, proxy: Proxy) -> None:
+    async def terminate_proxy(self, proxy: Proxy) -> None:
+        """Send SIGTERM to a proxy and wait for the start of its next process."""
         starts = proxy.starts
-        record = self._begin("terminate", proxy.name, planned=True)
+        record = self.begin("terminate", proxy.name, planned=True)
         proxy.send_signal(signal.SIGTERM)
         with anyio.move_on_after(10.0):
             while proxy.starts == starts:  # noqa: ASYNC110
                 await anyio.sleep(0.05)
-        self._end(record)
+        self.end(record)
 
     async def kill(self) -> None:
         """Kill one proxy."""
         proxy = self._random_proxy()
-        record = self._begin("kill", proxy.name)
+        record = self.begin("kill", proxy.name)
         proxy.send_signal(signal.SIGKILL)
-        self._end(record)
+        self.end(record)
 
     async def kill_many(self) -> None:
         """Kill several or all proxies at the same time."""
         count = self.rng.randrange(2, len(self.fleet.proxies) + 1)
-        record = self._begin("kill", f"{count} proxies")
+        record = self.begin("kill", f"{count} proxies")
         for proxy in self.rng.sample(self.fleet.proxies, k=count):
             proxy.send_signal(signal.SIGKILL)
-        self._end(record)
+        self.end(record)
 
     async def suspend(self) -> None:
         """Suspend a proxy process and resume it later."""
         proxy = self._random_proxy()
-        record = self._begin("freeze", proxy.name)
+        record = self.begin("freeze", proxy.name)
         proxy.send_signal(signal.SIGSTOP)
         await self._wait_duration()
         proxy.send_signal(signal.SIGCONT)
-        self._end(record)
+        self.end(record)
 
     async def disturb_store_links(self) -> None:
         """Disturb the links from some proxies to the store."""
@@ -175,27 +178,27 @@
     async def _disturb(self, links: list[Link]) -> None:
         choice = self.rng.randrange(6)
         if choice == 0:
-            record = self._begin("reset", links[0].name)
+            record = self.begin("reset", links[0].name)
             for link in links:
                 link.reset()
-            self._end(record)
+            self.end(record)
         elif choice == 1:
-            record = self._begin("silence", links[0].name)
+            record = self.begin("silence", links[0].name)
             for link in links:
                 link.stall()
-            self._end(record)
+            self.end(record)
         else:
             states = [s for s in LinkState if s is not LinkState.GOOD]
             await self._set_state(links, self.rng.choice(states))
 
     async def _set_state(self, links: list[Link], state: LinkState) -> None:
-        record = self._begin(state.name.lower(), f"{links[0].name} ({len(links)})")
+        record = self.begin(state.name.lower(), f"{links[0].name} ({len(links)})")
         for link in links:
             link.set_state(state, LINK_DELAY_S)
         await self._wait_duration()
         for link in links:
             link.set_state(LinkState.GOOD)
-        self._end(record)
+        self.end(record)
 
     async def crash_primary(self) -> None:
         """Crash the primary and restart it."""
@@ -214,77 +217,77 @@
         # the only copy of a log entry, whose loss is not a fault of the proxies.
         if not all(i.alive and not i.is_isolated for i in self.fleet.group.instances):
             return
-        record = self._begin("crash", instance.name)
+        record = self.begin("crash", instance.name)
         await instance.crash()
         await self._wait_duration(4.0)
         instance.restart()
-        self._end(record)
+        self.end(record)
 
     async def isolate_primary(self) -> None:
         """Cut the primary off from its replicas."""
         leader = self.fleet.group.primary
-        record = self._begin("cut off from replicas", leader.name)
+        record = self.begin("cut off from replicas", leader.name)
         leader.is_isolated = True
         await self._wait_duration()
         leader.is_isolated = False
-        self._end(record)
+        self.end(record)
 
     async def delay_replicas(self) -> None:
         """Increase the replication lag of all instances."""
         instances = self.fleet.group.instances
-        record = self._begin("lag", "all instances")
+        record = self.begin("lag", "all instances")
         previous = [instance.lag_s for instance in instances]
         for instance in instances:
             instance.lag_s = self.rng.uniform(0.05, 1.0)
         await self._wait_duration(3.0)
         for instance, lag_s in zip(instances, previous, strict=True):
             instance.lag_s = lag_s
-        self._end(record)
+        self.end(record)
 
     async def replace_primary(self) -> None:
         """Announce the removal of the primary for a time, so that it is replaced."""
         leader = self.fleet.group.primary
-        record = self._begin("leaving", leader.name)
+        record = self.begin("leaving", leader.name)
         leader.leaving = True
         await anyio.sleep(LEAVING_DURATION_S)
         leader.leaving = False
-        self._end(record)
+        self.end(record)
 
     async def lose_replies(self) -> None:
         """Make the primary run some statements without a reply."""
-        record = self._begin("answers lost", self.fleet.group.primary.name)
+        record = self.begin("answers lost", self.fleet.group.primary.name)
         self.fleet.group.primary.replies_to_drop = self.rng.randrange(1, 5)
-        self._end(record)
+        self.end(record)
 
     async def refuse_store(self) -> None:
         """Make the store refuse all calls."""
-        record = self._begin("refusing", "store")
+        record = self.begin("refusing", "store")
         self.fleet.store.is_unavailable = True
         await self._wait_duration()
         self.fleet.store.is_unavailable = False
-        self._end(record)
+        self.end(record)
 
     async def lose_store_history(self) -> None:
         """Make the store discard its change history."""
-        record = self._begin("history lost", "store")
+        record = self.begin("history lost", "store")
         self.fleet.store.compact_history()
-        self._end(record)
+        self.end(record)
 
     async def revoke_leases(self) -> None:
         """Make the store revoke all leases."""
-        record = self._begin("leases revoked", "store")
+        record = self.begin("leases revoked", "store")
         self.fleet.store.revoke_leases()
-        self._end(record)
+        self.end(record)
 
     async def change_configuration(self) -> None:
         """Write a new configuration."""
-        record = self._begin("configuration", "store", planned=True)
+        record = self.begin("configuration", "store", planned=True)
         self.fleet.write_configuration(self.rng.randrange(60))
-        self._end(record)
+        self.end(record)
 
     async def reload_settings(self) -> None:
         """Make a proxy reload its settings."""
         proxy = self._random_proxy()
-        record = self._begin("reload", proxy.name, planned=True)
+        record = self.begin("reload", proxy.name, planned=True)
         proxy.send_signal(signal.SIGHUP)
-        self._end(record)
+        self.end(record)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
@@ -14,6 +14,7 @@
 from anyio.abc import TaskGroup
 
 from rosemaryward.bench.launch.processes import Child, start_child
+from rosemaryward.bench.soak.endings import START_EVENT, ProcessRun
 from rosemaryward.bench.soak.links import Link
 from rosemaryward.bench.web import serve_http
 from rosemaryward.platform.configuration import (
@@ -35,6 +36,7 @@
 REGISTRATION_REMOVAL_DELAY_S = 1.5
 REGISTRATION_INTERVAL_S = 0.2
 RESTART_DELAY_S = 0.2
+LOAD_BALANCER_REMOVAL_S = 2.0  # two failed probes, one per second
 READY_TIMEOUT_S = 0.5
 HTTP_OK = 200
 
@@ -78,6 +80,8 @@
         Links from this proxy to the store, the instances and the other proxies.
     terminated_at : list of float
         Times of the SIGTERMs sent to it, in seconds of the monotonic clock.
+    runs : list of ProcessRun
+        Its processes, the present one last.
     """
 
     def __init__(self, name: str, place: tuple[str, str], used_ports: set[int]) -> None:
@@ -88,6 +92,8 @@
         self.child: Child | None = None
         self.starts = 0
         self.terminated_at: list[float] = []
+        self.runs: list[ProcessRun] = []
+        self.log_offset = 0
         self.stopping = False
 
     @property
@@ -101,17 +107,53 @@
             return
         if number is signal.SIGTERM:
             self.terminated_at.append(time.monotonic())
+        self.runs[-1].signals.append((time.monotonic(), number))
         self.child.process.send_signal(number)
 
+    @property
+    def is_running(self) -> bool:
+        """Whether its process runs."""
+        return self.child is not None and self.child.process.poll() is None
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether its process runs and has been sent a SIGTERM."""
+        return self.is_running and self.runs[-1].was_sent(signal.SIGTERM)
+
+    @property
+    def is_removed(self) -> bool:
+        """Whether the load balancer has removed it because of a drain."""
+        return self.is_running and any(
+            number is signal.SIGTERM and time.monotonic() - at > LOAD_BALANCER_REMOVAL_S
+            for at, number in self.runs[-1].signals
+        )
+
+    @property
+    def has_started(self) -> bool:
+        """Whether its process runs and has logged its start."""
+        return self.is_running and START_EVENT in self._read_log()
+
+    def _read_log(self) -> str:
+        """Return what the present process has logged."""
+        assert self.child is not None
+        with self.child.log.open("rb") as log:
+            log.seek(self.log_offset)
+            return log.read().decode(errors="replace")
+
     async def supervise(self, settings: Path, logs: Path, root: Path) -> None:
         """Keep the process running until cancelled or `stopping` is set."""
         command = [sys.executable, str(root / "deploy" / "proxy.py")]
         environment = {SETTINGS_VARIABLE: str(settings)}
+        log = logs / f"{self.name}.log"
         while not self.stopping:
+            self.log_offset = log.stat().st_size if log.exists() else 0
             self.child = start_child(self.name, command, logs, environment)
+            run = ProcessRun(self.name, time.monotonic())
+            self.runs.append(run)
             self.starts += 1
             while self.child.process.poll() is None:  # noqa: ASYNC110
                 await anyio.sleep(0.02)
+            run.record_end(self.child.process.returncode, self._read_log())
             await anyio.sleep(RESTART_DELAY_S)
 
     async def is_ready(self) -> bool:
@@ -133,6 +175,8 @@
         Number of proxies.
     max_connections : int
         Connections that an instance accepts; a low limit makes the proxies use relays.
+    mean_statement_s : float
+        Mean duration of a statement at an instance in seconds.
     folder : Path
         Folder for settings and logs.
     root : Path
@@ -140,13 +184,18 @@
     """
 
     def __init__(
-        self, proxies: int, max_connections: int, folder: Path, root: Path
+        self,
+        proxies: int,
+        max_connections: int,
+        mean_statement_s: float,
+        folder: Path,
+        root: Path,
     ) -> None:
         self.folder = folder
         self.root = root
         self.max_connections = max_connections
         self.store = FakeStore()
-        self.group = FakeGroup(GROUP, PLACES, max_connections)
+        self.group = FakeGroup(GROUP, PLACES, max_connections, mean_statement_s)
         used_ports: set[int] = set()
         self.proxies = [
             Proxy(f"proxy-{n}", PLACES[n % len(PLACES)], used_ports)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
@@ -1,5 +1,6 @@
 """One soak: fault injection, recovery and the checks of all guarantees."""
 
+import enum
 import random
 import time
 from pathlib import Path
@@ -10,11 +11,14 @@
 
 from rosemaryward.bench.launch.processes import stop_children
 from rosemaryward.bench.soak.callers import Callers
+from rosemaryward.bench.soak.endings import check_cuts, check_endings
 from rosemaryward.bench.soak.faults import FaultRecord, Faults
 from rosemaryward.bench.soak.fleet import Fleet
 from rosemaryward.bench.soak.history import check
+from rosemaryward.bench.soak.maintenance import Maintenance
+from rosemaryward.platform.fakes.group import MEAN_STATEMENT_DURATION_S
 
-__all__ = ["SoakResult", "soak"]
+__all__ = ["FaultSelection", "SoakResult", "soak"]
 
 MAX_STALENESS_S = 1.5
 START_TIMEOUT_S = 30.0
@@ -23,10 +27,36 @@
 DRAIN_START_WINDOW_S = 1.0
 FEW_CONNECTIONS = 12  # too few for six proxies, which then use relays
 MANY_CONNECTIONS = 40
+BALANCED_SHARE = 0.5  # of the runs with series
+LONG_STATEMENT_DURATION_S = 0.02  # mean; statements are at work at any moment
 
 log = structlog.get_logger(__name__)
 
 
+class FaultSelection(enum.Enum):
+    """What a soak injects.
+
+    Attributes
+    ----------
+    SINGLE
+        Faults and planned work, drawn one by one.
+    MIXED
+        The same beside series of planned work.
+    PLANNED
+        Only series of planned work, so that no unplanned fault excuses a cut
+        statement.
+    """
+
+    SINGLE = "single"
+    MIXED = "mixed"
+    PLANNED = "planned"
+
+    @classmethod
+    def of_seed(cls, seed: int) -> "FaultSelection":
+        """Return the selection for a seed: every other one has planned work only."""
+        return cls.PLANNED if seed % 2 else cls.MIXED
+
+
 class SoakResult(msgspec.Struct):
     """Result of one soak.
 
@@ -40,6 +70,8 @@
         Numbers of operations, successful statements and injected faults.
     violations : list of str
         One line for each violated guarantee.
+    dropped : list of str
+        One line for each statement that a drain neither ran nor answered.
     """
 
     seed: int
@@ -48,10 +80,17 @@
     succeeded: int
     faults: int
     violations: list[str]
+    dropped: list[str]
 
 
 async def soak(
-    seed: int, duration_s: float, proxies: int, callers: int, folder: Path, root: Path
+    seed: int,
+    duration_s: float,
+    proxies: int,
+    callers: int,
+    folder: Path,
+    root: Path,
+    selection: FaultSelection = FaultSelection.SINGLE,
 ) -> SoakResult:
     """Run one soak.
 
@@ -67,12 +106,20 @@
         Folder for the settings and logs of the proxies.
     root : Path
         Checkout to test.
+    selection : FaultSelection
+        What is injected.
     """
     rng = random.Random(seed)
     connections = rng.choice((FEW_CONNECTIONS, MANY_CONNECTIONS))
-    fleet = Fleet(proxies, connections, folder, root)
-    load = Callers(fleet, random.Random(seed + 1))
+    in_series = selection is not FaultSelection.SINGLE
+    mean_statement_s = (
+        LONG_STATEMENT_DURATION_S if in_series else MEAN_STATEMENT_DURATION_S
+    )
+    fleet = Fleet(proxies, connections, mean_statement_s, folder, root)
+    is_balanced = in_series and random.Random(seed + 3).random() < BALANCED_SHARE
+    load = Callers(fleet, random.Random(seed + 1), in_series, is_balanced)
     faults = Faults(fleet, rng)
+    maintenance = Maintenance(fleet, faults, random.Random(seed + 2))
     violations: list[str] = []
     try:
         async with anyio.create_task_group() as tasks:
@@ -83,7 +130,11 @@
             violations += [f"start: {name} is not ready" for name in late]
             async with anyio.create_task_group() as work:
                 work.start_soon(load.run, callers)
-                await faults.run(duration_s)
+                async with anyio.create_task_group() as injection:
+                    if selection is not FaultSelection.PLANNED:
+                        injection.start_soon(faults.run, duration_s)
+                    if in_series:
+                        injection.start_soon(maintenance.run, duration_s)
                 late = await fleet.wait_until_ready(RECOVERY_TIMEOUT_S)
                 violations += [f"recover: {name} is not ready" for name in late]
                 recovered_at = time.monotonic()
@@ -98,8 +149,19 @@
         children = [proxy.child for proxy in fleet.proxies if proxy.child is not None]
         with anyio.CancelScope(shield=True):
             await stop_children(children)
+    runs = [run for proxy in fleet.proxies for run in proxy.runs]
+    violations += check_endings(runs)
     violations += check(load.operations, fleet.group, MAX_STALENESS_S)
     violations += _check_drains(load, faults.records)
+    cut, dropped = check_cuts(
+        load.lost_replies,
+        runs,
+        {run.request_id for run in fleet.group.executed_statements},
+        lambda begin, end: (
+            not _has_no_unplanned_fault(faults.records, begin - QUIET_PERIOD_S, end)
+        ),
+    )
+    violations += cut
     statements = [s for o in load.operations for s in o.statements]
     return SoakResult(
         seed,
@@ -108,6 +170,7 @@
         sum(s.succeeded for s in statements),
         len(faults.records),
         violations,
+        dropped,
     )
 
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from rosemaryward.bench.soak.run import soak
+from rosemaryward.bench.soak.run import FaultSelection, soak
 
 ROOT = Path(__file__).parents[7]
 DURATION_S = 6.0
@@ -13,6 +13,22 @@
 ]
 """A seed that has failed stays in the list, with a line on the cause."""
 
+PLANNED_SEEDS = [
+    # A SIGHUP or a second SIGTERM during a drain ended the process at once.
+    pytest.param(5, id="signals-during-drains"),
+    # A SIGHUP before the handlers were installed ended the process.
+    pytest.param(18, id="signals-during-start"),
+    # Sessions that began after the drain had closed the others were cut at its end.
+    pytest.param(280, id="late-sessions"),
+]
+"""Seeds with planned work only."""
+
+
+async def run_planned(seed, folder):
+    return await soak(
+        seed, DURATION_S, PROXIES, 4 * PROXIES, folder, ROOT, FaultSelection.PLANNED
+    )
+
 
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", SEEDS)
@@ -21,3 +37,20 @@
     result = await soak(seed, DURATION_S, PROXIES, 3 * PROXIES, tmp_path, ROOT)
     assert result.violations == []
     assert result.succeeded > 0
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", PLANNED_SEEDS)
+async def test_planned_work_cuts_no_statement(seed, tmp_path):
+    """Guards against overlapping planned work that ends processes or statements."""
+    result = await run_planned(seed, tmp_path)
+    assert result.violations == []
+    assert result.succeeded > 0
+
+
+@pytest.mark.timeout(120)
+async def test_drain_drops_no_statement(tmp_path):
+    """Guards against drains that neither run nor answer a statement."""
+    result = await run_planned(18, tmp_path)
+    assert result.dropped == []
+    assert result.succeeded > 0
