--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/maintenance.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/maintenance.py
@@ -65,7 +65,10 @@
         async with anyio.create_task_group() as tasks:
             while time.monotonic() < until:
                 for proxy in self.rng.sample(self.fleet.proxies, self.count):
-                    tasks.start_soon(self.faults.terminate_proxy, proxy)
+                    if proxy.is_draining:
+                        self._send(proxy, signal.SIGTERM, "terminate again")
+                    else:
+                        tasks.start_soon(self.faults.terminate_proxy, proxy)
                     await anyio.sleep(self.rng.uniform(*ROLL_PAUSE_RANGE_S))
                     if time.monotonic() >= until:
                         return
@@ -118,7 +121,10 @@
     def _signal(self, proxies: list[Proxy], number: signal.Signals, kind: str) -> None:
         """Send a signal to one of the proxies, if there are any."""
         if proxies:
-            proxy = self.rng.choice(proxies)
-            record = self.faults.begin(kind, proxy.name, planned=True)
-            proxy.send_signal(number)
-            self.faults.end(record)
+            self._send(self.rng.choice(proxies), number, kind)
+
+    def _send(self, proxy: Proxy, number: signal.Signals, kind: str) -> None:
+        """Send a signal to a proxy and record it."""
+        record = self.faults.begin(kind, proxy.name, planned=True)
+        proxy.send_signal(number)
+        self.faults.end(record)
