Apply a settings change made while the proxy starts

Operators who changed the settings file, or sent SIGHUP, between a proxy's first read of the file and the start of the watch saw the old settings stay in force until the file changed again.

Cause: `_watch_settings` took its first fingerprint when its task started, after `read_settings` in `platform_main.main`, so the changed file became the state to compare with.

Evidence: test_settings_change_is_applied_whenever_file_changes failed on the former code for before-node-is-created and before-watch-starts (the store address stayed 127.0.0.1:20010); while-watched passed.

Change: the watch takes its fingerprint and then reloads once. A change before the fingerprint is read by this reload; a later one changes the fingerprint. A start without a change writes one `settings unchanged` line.

Result: the three rows pass.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -496,6 +496,8 @@
     async def _watch_settings(self) -> None:
         """Reload the settings when their file changes, even without SIGHUP."""
         seen = self._settings_fingerprint()
+        # The file may have changed since the settings at the start were read.
+        self.reload()
         while True:
             await anyio.sleep(SETTINGS_POLL_INTERVAL_S)
             fingerprint = self._settings_fingerprint()
