Keep the MySQL proxy running on SIGHUP and through repeated signals

Callers saw error 2013, "Lost connection to MySQL server during query", for a statement in progress when the proxy got SIGHUP, while it served and during a drain.

Cause: `run_node` received SIGTERM and SIGINT only, so SIGHUP had its default action. The two were handled until the node had closed, but a second one was not logged.

Change: handlers for the three signals are installed before the node opens a socket and stay until the event loop is closed. Each signal writes `signal received` with `draining`; SIGHUP does nothing else, because TLS files are watched and the other settings are flags and environment.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
@@ -1,5 +1,6 @@
 """Entry point of the command ``rosemaryward-proxy``."""
 
+import asyncio
 import logging
 import signal
 import sys
@@ -21,7 +22,7 @@
 
 
 def main() -> None:
-    """Run a proxy until SIGTERM or SIGINT."""
+    """Run a proxy until SIGTERM or SIGINT; SIGHUP is only logged."""
     settings = cappa.parse(ProxySettings)
     try:
         settings.check()
@@ -46,11 +47,35 @@
 
 async def run_node(settings: ProxySettings) -> None:
     """Run a proxy until SIGTERM or SIGINT, then drain it."""
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with ProxyNode(settings) as node:
-            async for _ in signals:
-                break
-            await node.drain()
+    node = ProxyNode(settings)
+    stopping = handle_signals(node)
+    async with node:
+        await stopping.wait()
+        await node.drain()
+
+
+def handle_signals(node: ProxyNode) -> anyio.Event:
+    """Log SIGHUP, SIGTERM and SIGINT until the event loop is closed.
+
+    No handler is removed before, because the default actions end the process, even
+    while statements are in progress.
+
+    Returns
+    -------
+    anyio.Event
+        Set by SIGTERM and SIGINT.
+    """
+    stopping = anyio.Event()
+    loop = asyncio.get_running_loop()
+
+    def handle(number: signal.Signals) -> None:
+        node.log.info("signal received", signal=number.name, draining=node.is_draining)
+        if number != signal.SIGHUP:
+            stopping.set()
+
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, handle, number)
+    return stopping
 
 
 if __name__ == "__main__":
