--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
@@ -39,7 +39,7 @@
 
 
 @asynccontextmanager
-async def running_proxy(folder):
+async def running_fleet(folder):
     """Run one proxy with its test doubles; it is not restarted once it ends."""
     fleet = Fleet(1, 40, folder, ROOT)
     (proxy,) = fleet.proxies
@@ -48,13 +48,21 @@
             tasks.start_soon(fleet.run, tasks, anyio.Event())
             assert await fleet.wait_until_ready(START_TIMEOUT_S) == []
             proxy.stopping = True
-            yield proxy
+            yield fleet
             tasks.cancel_scope.cancel()
     finally:
         with anyio.CancelScope(shield=True):
             await stop_children([proxy.child])
 
 
+@asynccontextmanager
+async def running_proxy(folder):
+    """Run one proxy as `running_fleet` does and return the proxy."""
+    async with running_fleet(folder) as fleet:
+        (proxy,) = fleet.proxies
+        yield proxy
+
+
 def read_events(child):
     """Return the structured log lines of a process."""
     lines = child.log.read_text(encoding="utf-8").splitlines()
