End a transaction whose statement runs when a drain abandons it

Callers saw: a statement that an instance ran cut at the end of a drain. Cause: CallerSession.end(abandon_transaction=True) forgot the request while a statement ran; the session then went on until the drain cut it, at the grace period less 0.7 s. Change: the session remembers it and closes after the reply, refusing what follows. The tests give the fleet the statement duration that it now takes.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_drain.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_drain.py
@@ -11,7 +11,6 @@
     wait_for_exit,
     wait_for_primary,
 )
-from rosemaryward.platform.fakes import group
 from rosemaryward.platform.fakes.caller import FakeCaller, ReplyLostError
 
 STATEMENT_DURATION_S = 0.15
@@ -49,12 +48,14 @@
     ],
 )
 async def test_drain_answers_statements_that_instances_run(
-    begin, opened_late, tmp_path, monkeypatch
+    begin, opened_late, tmp_path
 ):
     """Guards against a drain that ends while a session still sends statements."""
-    monkeypatch.setattr(group, "MEAN_STATEMENT_DURATION_S", STATEMENT_DURATION_S)
     unanswered = []
-    async with running_fleet(tmp_path) as fleet, anyio.create_task_group() as tasks:
+    async with (
+        running_fleet(tmp_path, STATEMENT_DURATION_S) as fleet,
+        anyio.create_task_group() as tasks,
+    ):
         (proxy,) = fleet.proxies
         async with FakeCaller(proxy.address, "primary") as caller:
             await wait_for_primary(caller)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_signals.py
@@ -39,9 +39,9 @@
 
 
 @asynccontextmanager
-async def running_fleet(folder):
+async def running_fleet(folder, mean_statement_s=0.004):
     """Run one proxy with its test doubles; it is not restarted once it ends."""
-    fleet = Fleet(1, 40, folder, ROOT)
+    fleet = Fleet(1, 40, mean_statement_s, folder, ROOT)
     (proxy,) = fleet.proxies
     try:
         async with anyio.create_task_group() as tasks:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -81,6 +81,8 @@
     end_reason : str
         Why to close as soon as no statement and no transaction is open, empty if
         the session goes on.
+    abandons_transaction : bool
+        Whether an open transaction does not delay the close.
     receive_scope : anyio.CancelScope or None
         Cancels the wait for the next statement, None while a statement runs.
     interrupted : bool
@@ -106,6 +108,7 @@
         self.clock = clock
         self.transaction: Transaction | None = None
         self.end_reason = ""
+        self.abandons_transaction = False
         self.receive_scope: anyio.CancelScope | None = None
         self.interrupted = False
 
@@ -124,19 +127,18 @@
         reason : str
             Why the session ends, told to the caller.
         abandon_transaction : bool
-            Whether to close it with an open transaction too, if no statement runs.
+            Whether to close it with an open transaction too, once no statement runs.
         """
         self.end_reason = reason
-        if self.receive_scope is not None and (
-            self.transaction is None or abandon_transaction
-        ):
+        self.abandons_transaction |= abandon_transaction
+        if self.receive_scope is not None and self._may_close():
             self.interrupted = True
             self.receive_scope.cancel()
 
     async def run(self) -> None:
         """Serve statements until the caller disconnects or the session ends."""
         try:
-            while not (self.end_reason and self.transaction is None):
+            while not self._may_close():
                 statement = await self._receive()
                 if statement is None:
                     if self.interrupted:
@@ -158,6 +160,12 @@
             if self.transaction is not None:
                 await self.transaction.roll_back()
 
+    def _may_close(self) -> bool:
+        """Return whether the session ends between two statements."""
+        if not self.end_reason:
+            return False
+        return self.transaction is None or self.abandons_transaction
+
     async def _close(self) -> None:
         """Refuse whatever the caller still sends, until it disconnects.
 
