Do not acquire the failover lock again while a proxy shuts down

Cause: the lock's loop goes on during the drain and took the released lock again, 0.45 s after 'duty given back' in a scratch run of one proxy, so a change of primary could start in a process about to exit. Change: release() is final for the process. Evidence: test_released_lock_is_not_acquired_again_by_the_same_process.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -89,6 +89,8 @@
         Lease that the record is bound to.
     renewed_at : float
         Boot time at which the last successful renewal of the lease was sent.
+    leaving : bool
+        Whether this process has released the lock and does not acquire it again.
     """
 
     def __init__(
@@ -120,6 +122,7 @@
         self.free_since = clock()
         self.lease_id = 0
         self.renewed_at = float("-inf")
+        self.leaving = False
 
     def mark_registered(self) -> None:
         """Record that other members can know of this process from now on."""
@@ -174,7 +177,8 @@
             await anyio.sleep(pause_s)
 
     async def release(self) -> None:
-        """Release the lock, so that another proxy can acquire it at once."""
+        """Release the lock for good, so that another proxy can acquire it at once."""
+        self.leaving = True
         if not self.is_held():
             return
         self.token = 0
@@ -207,6 +211,8 @@
 
     def _may_acquire(self) -> bool:
         """Return whether the lock is free and this process may acquire it now."""
+        if self.leaving:
+            return False
         record = self.record
         waited_s = self.clock() - self.free_since
         if record is not None and record.holder == self.holder:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -144,3 +144,17 @@
     assert lock.is_held()
     lock.invalidate_token(lock.token)
     assert not lock.is_held()
+
+
+async def test_released_lock_is_not_acquired_again_by_the_same_process():
+    """Guards against a process that takes the lock while it shuts down."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock)
+    clock.now += 10.0
+    await step(lock)
+    assert lock.is_held()
+    await lock.release()
+    lock.observe(LockRecord("", "inc-proxy-1"), store.revision)
+    clock.now += 10.0
+    await step(lock)
+    assert not lock.is_held()
