Keep running when the reader of standard output has ended

Cause: only BlockingIOError was handled; BrokenPipeError of the next log line ended the proxy with requests in progress (scratch run: status 1, 0.17 s after the line). Change: lines that cannot be written are dropped and counted. Evidence: test_closed_output_drops_lines fails before.

--- a/packages/rosemaryward-operators/src/rosemaryward/operators/bounded_logs.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/bounded_logs.py
@@ -107,6 +107,9 @@
             return data[os.write(self.descriptor, data) :]
         except BlockingIOError:
             return data
+        except OSError:  # the reader of the log has ended
+            self.dropped_lines += 1
+            return b""
 
 
 def _render(logger: WrappedLogger, method: str, event: EventDict) -> bytes:
