--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -18,6 +18,7 @@
 __all__ = ["main"]
 
 EXIT_USAGE = 2
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 log = structlog.get_logger(__name__)
 
@@ -45,14 +46,14 @@
     """Run a proxy until SIGTERM or SIGINT; SIGHUP reloads the settings."""
     # The receiver stays open until the drain has ended, because its exit restores the
     # default actions, with which a further signal would end the process.
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    with anyio.open_signal_receiver(*SIGNALS) as signals:
         async with anyio.create_task_group() as tasks:
             stopping = anyio.Event()
             tasks.start_soon(_handle_signals, signals, node, stopping)
             await node.run(stopping)
             tasks.cancel_scope.cancel()
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)  # nothing is left to stop
 
 
 async def _handle_signals(
