Bound the wait for the store at the start of a drain

Change: the release runs beside the wait for the load balancer and ends with it. Evidence: test_silent_store_does_not_delay_the_drain.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -290,9 +290,10 @@
         started_at = boot_time_s()
         self.is_draining = True
         log.info("drain begins", sessions=len(self.sessions), grace_s=grace_s)
-        await self.failover_lock.release()
         self.relay_server.leave()
-        await anyio.sleep(LOAD_BALANCER_REMOVAL_S)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._release_failover_lock)
+            await anyio.sleep(LOAD_BALANCER_REMOVAL_S)
         self.caller_server.refuse_callers(SHUTDOWN)
         for session in list(self.sessions):
             session.end(SHUTDOWN)
@@ -305,6 +306,13 @@
             await self.registration.remove()
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
 
+    async def _release_failover_lock(self) -> None:
+        """Release the lock, without waiting longer for the store than the drain can."""
+        with anyio.move_on_after(LOAD_BALANCER_REMOVAL_S) as scope:
+            await self.failover_lock.release()
+        if scope.cancelled_caught:
+            log.warning("duty not given back: the store did not answer in time")
+
     async def _wait_for_sessions(self, until: float) -> None:
         """Wait until no caller or relayed work is left.
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
@@ -52,6 +52,10 @@
     assert not PlatformNode(make_settings(1), None).is_draining
 
 
+async def raise_error(*arguments):
+    raise ValueError("unexpected")
+
+
 class DrainScenario:
     """Proxy whose callers are served by instances in memory."""
 
@@ -206,3 +210,26 @@
                 await stream.receive()
             await stream.aclose()
     assert [database for database, *_ in overdue] == ["db"]
+
+
+async def test_silent_store_does_not_delay_the_drain(monkeypatch):
+    """Guards against a drain that waits for the store until its grace period ends."""
+    scenario = DrainScenario(monkeypatch)
+    monkeypatch.setattr(scenario.node.failover_lock, "release", anyio.sleep_forever)
+    with anyio.fail_after(scenario.node.settings.grace_s):
+        await scenario.node.drain()
+    assert scenario.removed
+
+
+async def test_error_in_a_session_does_not_stop_the_server(monkeypatch):
+    """Guards against one session whose error cuts all others."""
+    scenario = DrainScenario(monkeypatch)
+    monkeypatch.setattr(scenario.node.caller_server, "serve", raise_error)
+    with anyio.fail_after(TEST_TIMEOUT_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(scenario.node.caller_server.run)
+            for _ in range(2):
+                stream = await scenario.start_session()
+                with pytest.raises(anyio.EndOfStream):
+                    await stream.receive()
+            tasks.cancel_scope.cancel()
