--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -7,6 +7,7 @@
     FollowerSource,
     MirrorSource,
     NotLoadedError,
+    Reader,
 )
 from rosemaryward.decisions.mirror.mirror import StoreMirror, Subscriber
 from rosemaryward.decisions.mirror.store import (
@@ -32,6 +33,7 @@
     "Listing",
     "MirrorSource",
     "NotLoadedError",
+    "Reader",
     "StoreMirror",
     "StoredValue",
     "Subscriber",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.mirror.store import (
     Changes,
@@ -27,12 +28,14 @@
     "FollowerSource",
     "MirrorSource",
     "NotLoadedError",
+    "Reader",
 ]
 
 HISTORY_MAX_CHANGES = 4000
 WATCH_WAIT_LIMIT_S = 5.0  # longest wait for changes that a follower requests
 READER_LOAD_WAIT_S = 3.0  # lets a reader that starts at the same time load
 READER_MAX_READ_AGE_S = 4.0  # a reader with an older last read lost the store
+STORE_SOURCE = "store"  # named in log lines where a reader could be
 
 log = structlog.get_logger(__name__)
 
@@ -175,6 +178,28 @@
         """Return changes after a revision; raises `HistoryLostError`."""
 
 
+class Reader:
+    """Proxy that reads the store and passes its changes on.
+
+    Parameters
+    ----------
+    name : str
+        Name of the proxy.
+    request_changes : callable
+        Requests changes from it; raises `PeerError` without a reply.
+    """
+
+    __slots__ = ("name", "request_changes")
+
+    def __init__(
+        self,
+        name: str,
+        request_changes: Callable[[ChangesRequest], Awaitable[ChangesReply]],
+    ) -> None:
+        self.name = name
+        self.request_changes = request_changes
+
+
 class FollowerSource:
     """Source that asks a reader, and the store if no reader can answer.
 
@@ -183,19 +208,27 @@
     store : MirrorSource
         Source to use without a reader.
     readers : callable
-        Returns a function for each reader that requests changes from it and raises
-        `PeerError`; no functions if this process reads the store.
+        Returns the readers in the order in which to ask them, none if this process
+        reads the store.
+    clock : callable, optional
+        Boot time in seconds.
+
+    Attributes
+    ----------
+    selected : str
+        Name of the reader asked last, `STORE_SOURCE` for the store, empty at first.
     """
 
     def __init__(
         self,
         store: MirrorSource,
-        readers: Callable[
-            [], Awaitable[list[Callable[[ChangesRequest], Awaitable[ChangesReply]]]]
-        ],
+        readers: Callable[[], Awaitable[list[Reader]]],
+        clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.store = store
         self.readers = readers
+        self.clock = clock
+        self.selected = ""
 
     async def list(self, prefix: str) -> Listing:
         """Return all values whose keys start with `prefix`."""
@@ -223,12 +256,42 @@
 
     async def _request_changes(self, request: ChangesRequest) -> ChangesReply | None:
         """Return the reply of the first reader that can reach the store, or None."""
-        for request_changes in await self.readers():
+        for reader in await self.readers():
+            self._select(reader.name, request)
+            asked_at = self.clock()
             try:
-                reply = await request_changes(request)
+                reply = await reader.request_changes(request)
             except PeerError as error:
                 log.info("reader did not answer", error=str(error))
                 continue
+            except anyio.get_cancelled_exc_class():
+                # Only a watch that is behind the store is cancelled before its end.
+                log.info(
+                    "reader abandoned",
+                    reader=reader.name,
+                    after=request.after,
+                    waited_s=round(self.clock() - asked_at, 3),
+                )
+                raise
             if reply.age_s <= READER_MAX_READ_AGE_S:
                 return reply
+            log.info(
+                "reader lost the store",
+                reader=reader.name,
+                read_age_s=round(reply.age_s, 3),
+                revision=reply.revision,
+            )
+        self._select(STORE_SOURCE, request)
         return None
+
+    def _select(self, name: str, request: ChangesRequest) -> None:
+        """Record the source of the next changes; log when it differs."""
+        if name == self.selected:
+            return
+        log.info(
+            "change source selected",
+            source=name,
+            previous=self.selected,
+            after=request.after,
+        )
+        self.selected = name
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
@@ -10,6 +10,7 @@
     HistoryLostError,
     Listing,
     NotLoadedError,
+    Reader,
     StoredValue,
     StoreMirror,
 )
@@ -86,7 +87,7 @@
         await request_changes(ChangeHistory(), 0)
 
 
-class Reader:
+class FollowedProxy:
     """Proxy whose mirror another proxy follows."""
 
     def __init__(self):
@@ -115,14 +116,14 @@
     """Return the source of a follower of one reader."""
 
     async def readers():
-        return [reader.ask]
+        return [Reader("proxy-1", reader.ask)]
 
     return FollowerSource(store, readers)
 
 
 async def test_follower_gets_all_changes_through_its_reader():
     """Guards against a configuration read by every proxy over a narrow link."""
-    reader = Reader()
+    reader = FollowedProxy()
     reader.store.put("k", b"1")
     subscriber = Subscriber()
     follower = StoreMirror(
@@ -152,7 +153,7 @@
 )
 async def test_follower_without_a_usable_reader_calls_the_store(fault):
     """Guards against a stale configuration from a reader that lost the store."""
-    reader = Reader()
+    reader = FollowedProxy()
     await reader.mirror.reload()
     for name, setting in fault.items():
         setattr(reader, name, setting)
@@ -168,7 +169,7 @@
 
 async def test_follower_without_all_changes_reloads():
     """Guards against a follower that continues after missed changes."""
-    reader = Reader()
+    reader = FollowedProxy()
     await reader.mirror.reload()
     with pytest.raises(HistoryLostError):
         await make_source(reader, UnusedStore()).watch("", 3, SHORT_WAIT_S)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -2,7 +2,6 @@
 
 import functools
 import secrets
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 import anyio
@@ -32,9 +31,8 @@
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
 from rosemaryward.decisions.mirror import (
-    ChangesReply,
-    ChangesRequest,
     FollowerSource,
+    Reader,
     StoredValue,
     StoreMirror,
 )
@@ -86,8 +84,6 @@
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
-ReaderCall = Callable[[ChangesRequest], Awaitable[ChangesReply]]
-
 log = structlog.get_logger(__name__)
 
 
@@ -179,6 +175,7 @@
             self.failover_lock,
             self.confirmation,
         )
+        self.follower_source = FollowerSource(self.store, self._readers)
         self.mirror = StoreMirror(
             self.store,
             self._subscribers(),
@@ -186,7 +183,7 @@
             self.registration.record_store_read,
             self.confirmation.confirm_through_reader,
             self.confirmation.watch_pause_s,
-            FollowerSource(self.store, self._reader_calls),
+            self.follower_source,
         )
         self.liveness_delegate = LivenessDelegate(
             settings.name,
@@ -339,7 +336,16 @@
             await self.configured.wait()
         if not self.environment.version:
             return None
-        return database in self.environment.routes
+        if database in self.environment.routes:
+            return True
+        log.info(
+            "database has no route",
+            database=database,
+            configuration=self.environment.version,
+            revision=self.mirror.revision,
+            source=self.follower_source.selected,
+        )
+        return False
 
     async def _serve_caller(
         self, channel: LineCallerChannel, database: str, caller: str
@@ -388,15 +394,16 @@
         )
         return MemberServer(self.settings.peer_address, handler.handle)
 
-    async def _reader_calls(self) -> list[ReaderCall]:
-        """Return calls to the proxies that read the store on behalf of this one."""
+    async def _readers(self) -> list[Reader]:
+        """Return the proxies that read the store on behalf of this one."""
         if not self.members.members:
             await self.registration.refresh()
         readers = readers_to_follow(
             self.members, self.settings.name, self.settings.place.failure_domain
         )
         return [
-            functools.partial(self.peers.request_changes, reader) for reader in readers
+            Reader(reader.name, functools.partial(self.peers.request_changes, reader))
+            for reader in readers
         ]
 
     def _connection_limit(self, group: str) -> int | None:
