--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
@@ -21,6 +21,9 @@
 from rosemaryward.decisions.mirror.tests.test_mirror import Store, Subscriber, until
 
 SHORT_WAIT_S = 0.01
+CONFIGURATION_LIMIT_S = 5.0  # in which a confirmed configuration is in force
+TRANSFER_TIMEOUT_S = 3.0  # that a request of changes may last beyond its wait
+LARGE_FLEET_PAUSE_S = 0.3
 
 
 def value(key, revision):
@@ -173,3 +176,65 @@
     await reader.mirror.reload()
     with pytest.raises(HistoryLostError):
         await make_source(reader, UnusedStore()).watch("", 3, SHORT_WAIT_S)
+
+
+async def wait_like_a_reader_without_the_store(request):
+    """Hold a request as long as it allows, and reply without a change."""
+    await anyio.sleep(request.wait_s)
+    return ChangesReply([], [], request.after, False, READER_MAX_READ_AGE_S + 1.0)
+
+
+async def stay_silent(request):
+    """Give no reply until the request times out."""
+    await anyio.sleep(request.wait_s + TRANSFER_TIMEOUT_S)
+    raise PeerError("no reply in time")
+
+
+@pytest.mark.parametrize("second_reader_fails", [False, True])
+@pytest.mark.parametrize(
+    "fail", [wait_like_a_reader_without_the_store, stay_silent], ids=["cut", "silent"]
+)
+async def test_follower_of_a_failed_reader_gets_a_change_in_time(
+    fail, second_reader_fails
+):
+    """Guards against a follower that asks the same failed reader again and again."""
+    store = Store()
+    healthy = FollowedProxy()
+    healthy.store = healthy.mirror.store = healthy.mirror.source = store
+    asks = [healthy.ask, healthy.ask]
+
+    async def readers():
+        return [
+            Reader(f"proxy-{number}", lambda request, n=number: asks[n](request))
+            for number in range(2)
+        ]
+
+    async def confirm_through_reader():
+        return 0 if second_reader_fails else store.revision
+
+    subscriber = Subscriber()
+    follower = StoreMirror(
+        store,
+        {"": subscriber},
+        "c/",
+        lambda *_: None,
+        confirm_through_reader,
+        watch_pause_s=lambda: LARGE_FLEET_PAUSE_S,
+        source=FollowerSource(store, readers),
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(healthy.mirror.run)
+        tasks.start_soon(follower.run)
+        store.put("k", b"1")
+        await until(lambda: "k" in subscriber.values)
+        asks[:] = [fail, fail if second_reader_fails else healthy.ask]
+        store.put("k", b"2")  # ends the request that waits at the healthy reader
+        await until(lambda: subscriber.values["k"] == b"2")
+        store.put("k", b"3")
+        seen = []
+        with anyio.move_on_after(CONFIGURATION_LIMIT_S):
+            while not seen:
+                await anyio.sleep(SHORT_WAIT_S)
+                seen += [value for value in subscriber.values.values() if value == b"3"]
+        tasks.cancel_scope.cancel()
+    assert seen == [b"3"]
