--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -23,7 +23,11 @@
     CONFIRMATION_VALIDITY_S,
     Leadership,
 )
-from rosemaryward.decisions.mirror import READER_MAX_READ_AGE_S, ReaderFailures
+from rosemaryward.decisions.mirror import (
+    READER_MAX_READ_AGE_S,
+    ReaderFailures,
+    StoreRead,
+)
 
 __all__ = ["Confirmation"]
 
@@ -134,14 +138,13 @@
             revision=self.revision,
         )
 
-    async def confirm_through_reader(self) -> int:
+    async def confirm_through_reader(self) -> StoreRead | None:
         """Confirm the records through a reader of this process's failure domain.
 
         Returns
         -------
-        int
-            Store revision that the reader read, 0 if this process has to read the
-            store itself.
+        StoreRead or None
+            Read of the reader, None if this process has to read the store itself.
         """
         for reader in self._readers():
             if self.reader_failures.is_avoided(reader.name):
@@ -158,9 +161,10 @@
             if not reply.registered or reply.age_s > READER_MAX_READ_AGE_S:
                 continue
             self._observe_records(reply)
-            self.leadership.confirm(asked_at - reply.age_s)
-            return reply.revision
-        return 0
+            read_at = asked_at - reply.age_s
+            self.leadership.confirm(read_at)
+            return StoreRead(reply.revision, read_at)
+        return None
 
     def watch_pause_s(self) -> float:
         """Return the seconds to collect changes between two watches of the store.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_readers.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_readers.py
@@ -61,7 +61,7 @@
     """Guards against a store read by every proxy of a large fleet."""
     fleet = LargeFleet()
     fleet.answer("proxy-0")
-    assert await fleet.confirmation.confirm_through_reader() == 77
+    assert (await fleet.confirmation.confirm_through_reader()).revision == 77
     assert fleet.confirmation.leadership.primary(GROUP).primary == "i-2"
 
 
@@ -76,7 +76,7 @@
     """Guards against relying on a read that proves nothing for this process."""
     fleet = LargeFleet()
     fleet.answer("proxy-0", **reply)
-    assert await fleet.confirmation.confirm_through_reader() == 0
+    assert await fleet.confirmation.confirm_through_reader() is None
     assert not fleet.confirmation.leadership.is_confirmed()
 
 
@@ -84,14 +84,14 @@
     """Guards against a failure domain that stops when one reader is lost."""
     fleet = LargeFleet()
     fleet.answer("proxy-4")
-    assert await fleet.confirmation.confirm_through_reader() == 77
+    assert (await fleet.confirmation.confirm_through_reader()).revision == 77
 
 
 async def test_every_member_of_a_small_fleet_reads_the_store():
     """Guards against a needless request for each confirmation."""
     fleet = LargeFleet(size=SMALL_FLEET_MAX_MEMBERS)
     fleet.answer("proxy-0")
-    assert await fleet.confirmation.confirm_through_reader() == 0
+    assert await fleet.confirmation.confirm_through_reader() is None
     assert fleet.confirmation.watch_pause_s() == 0.0
 
 
@@ -133,7 +133,8 @@
     fleet.answer("proxy-4")
     await fleet.confirmation.confirm_through_reader()
     failed = {"proxy-0"} & set(fleet.confirmation.reader_failures.avoided_until)
-    assert await fleet.confirmation.confirm_through_reader() == 77
+    assert (await fleet.confirmation.confirm_through_reader()).revision == 77
     del fleet.peers.confirmations["proxy-4"]
     fleet.answer("proxy-0")
-    assert await fleet.confirmation.confirm_through_reader() == (0 if failed else 77)
+    read = await fleet.confirmation.confirm_through_reader()
+    assert (read is None) == bool(failed)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -20,6 +20,7 @@
     LeaseStore,
     Listing,
     StoredValue,
+    StoreRead,
 )
 
 __all__ = [
@@ -39,6 +40,7 @@
     "Reader",
     "ReaderFailures",
     "StoreMirror",
+    "StoreRead",
     "StoredValue",
     "Subscriber",
 ]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -19,6 +19,7 @@
     HistoryLostError,
     Listing,
     StoredValue,
+    StoreRead,
 )
 
 __all__ = ["StoreMirror", "Subscriber"]
@@ -57,8 +58,8 @@
         Called after each of these reads with the boot time at which it was sent, and
         with the values that it returned.
     confirm_through_reader : callable, optional
-        Confirms the prefix through another process; returns the store revision that
-        it read, 0 if this process has to read the store.
+        Confirms the prefix through another process; returns its read of the store,
+        None if this process has to read the store.
     watch_pause_s : callable, optional
         Returns the pause in seconds after each watch that returned changes.
     source : MirrorSource, optional
@@ -80,6 +81,11 @@
         Set after the first complete listing.
     reachable : bool
         Whether the last list or watch call was answered.
+    current_at : float
+        Boot time of the newest read of the store whose revision this mirror has
+        reached: it has all changes that the store acknowledged before.
+    progressed : anyio.Event
+        Set, then replaced, whenever `revision` or `current_at` may have grown.
     checks_behind : int
         Number of successive checks that found the watch behind the store.
     reload_next : bool
@@ -96,7 +102,7 @@
         subscribers: Mapping[str, Subscriber],
         confirmed_prefix: str,
         on_confirmed: Callable[[float, Listing], None],
-        confirm_through_reader: Callable[[], Awaitable[int]] | None = None,
+        confirm_through_reader: Callable[[], Awaitable[StoreRead | None]] | None = None,
         watch_pause_s: Callable[[], float] = float,
         source: MirrorSource | None = None,
         clock: Callable[[], float] = boot_time_s,
@@ -106,6 +112,8 @@
         self.store = store
         self.source = source or store
         self.history = ChangeHistory()
+        self.current_at = float("-inf")
+        self.progressed = anyio.Event()
         self.checks_behind = 0
         self.reload_next = True
         self.subscribers = subscribers
@@ -139,6 +147,10 @@
         self._advance(listing.revision)
         self.loaded.set()
 
+    def age_s(self) -> float:
+        """Return for how many seconds changes may be missing, infinity at first."""
+        return self.clock() - self.current_at
+
     def confirm_now(self) -> None:
         """Read the confirmed prefix now, not only at the next interval."""
         self.confirm_requested.set()
@@ -173,31 +185,32 @@
         # The first read shows whether this process is registered.
         read_store_next = True
         while True:
-            sent_at = self.clock()
-            revision = 0 if read_store_next else await self.confirm_through_reader()
-            if not revision:
+            began_at = self.clock()
+            read = None if read_store_next else await self.confirm_through_reader()
+            if read is None:
                 try:
-                    revision = await self._read_confirmed()
+                    read = await self._read_confirmed()
                 except StoreError as error:
                     self._set_reachable(False, str(error))
                     await anyio.sleep(RETRY_PAUSE_S)
                     continue
+            self._compare(read)
             read_store_next = await self._confirm_requested_within(WATCH_CATCH_UP_S)
             if read_store_next:
                 continue
-            self._check_watch(revision)
-            pause_s = sent_at + CONFIRM_INTERVAL_S - self.clock()
+            self._check_watch(read)
+            pause_s = began_at + CONFIRM_INTERVAL_S - self.clock()
             read_store_next = await self._confirm_requested_within(pause_s)
 
-    async def _read_confirmed(self) -> int:
-        """Read the confirmed prefix; return its revision or raise `StoreError`."""
+    async def _read_confirmed(self) -> StoreRead:
+        """Read the confirmed prefix; raises `StoreError`."""
         sent_at = self.clock()
         listing = await self.store.list(self.confirmed_prefix)
         for stored in listing.values:
             self._apply_write(stored)
         self.on_confirmed(sent_at, listing)
         self._set_reachable(True, "")
-        return listing.revision
+        return StoreRead(listing.revision, sent_at)
 
     async def _confirm_requested_within(self, wait_s: float) -> bool:
         """Wait `wait_s` seconds; return True as soon as a confirmation is requested."""
@@ -208,9 +221,22 @@
             self.confirm_requested = anyio.Event()
         return requested
 
-    def _check_watch(self, revision: int) -> None:
-        """Cancel the watch if it has not reached a revision of the store."""
-        if self.revision >= revision or self.watch_scope is None:
+    def _compare(self, read: StoreRead) -> bool:
+        """Return whether this mirror has reached the revision of a read."""
+        if self.revision < read.revision:
+            return False
+        self.current_at = max(self.current_at, read.sent_at)
+        self._notify_progress()
+        return True
+
+    def _notify_progress(self) -> None:
+        """Wake those who wait for `progressed`."""
+        self.progressed.set()
+        self.progressed = anyio.Event()
+
+    def _check_watch(self, read: StoreRead) -> None:
+        """Cancel the watch if it has not reached the revision of a read."""
+        if self._compare(read) or self.watch_scope is None:
             self.checks_behind = 0
             return
         self.checks_behind += 1
@@ -220,7 +246,7 @@
         log.warning(
             "watch behind the store",
             watch_revision=self.revision,
-            store_revision=revision,
+            store_revision=read.revision,
         )
         self.watch_scope.cancel()
 
@@ -236,6 +262,7 @@
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
         self.history.advance(self.revision)
+        self._notify_progress()
 
     def _apply_write(self, stored: StoredValue) -> None:
         """Apply a written value, unless a newer change of its key is known."""
@@ -271,6 +298,6 @@
             log.warning("store lost", reason=reason, revision=self.revision)
 
 
-async def _no_reader() -> int:
+async def _no_reader() -> StoreRead | None:
     """Return that this process has to read the store."""
-    return 0
+    return None
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -13,6 +13,7 @@
     "LeaseStore",
     "LeasedKey",
     "Listing",
+    "StoreRead",
     "StoredValue",
 ]
 
@@ -76,6 +77,21 @@
     revision: int
 
 
+class StoreRead(msgspec.Struct, frozen=True):
+    """Read of the store that another process made.
+
+    Parameters
+    ----------
+    revision : int
+        Store revision of the read.
+    sent_at : float
+        Boot time of this host in seconds, not later than the read was sent.
+    """
+
+    revision: int
+    sent_at: float
+
+
 class LeasedKey(msgspec.Struct, frozen=True):
     """A key bound to a lease, written unconditionally.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
@@ -13,6 +13,7 @@
     Reader,
     StoredValue,
     StoreMirror,
+    StoreRead,
 )
 from rosemaryward.decisions.mirror.follower import (
     HISTORY_MAX_CHANGES,
@@ -210,7 +211,7 @@
         ]
 
     async def confirm_through_reader():
-        return 0 if second_reader_fails else store.revision
+        return None if second_reader_fails else StoreRead(store.revision, 0.0)
 
     subscriber = Subscriber()
     follower = StoreMirror(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -8,6 +8,7 @@
     Listing,
     StoredValue,
     StoreMirror,
+    StoreRead,
 )
 from rosemaryward.decisions.mirror.mirror import WATCH_CATCH_UP_S
 
@@ -184,7 +185,7 @@
 
     async def confirm_through_reader():
         asked.append(store.revision)
-        return store.revision
+        return StoreRead(store.revision, 0.0)
 
     mirror = StoreMirror(
         store,
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -81,7 +81,9 @@
 TRANSACTION_GRACE_FRACTION = 0.45  # of the grace period, for open transactions
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
-FIRST_CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
+# A database that a configuration has added must be served 3 s later at the latest.
+CONFIGURATION_MAX_AGE_S = 2.5
+CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -336,21 +338,30 @@
     # Servers
 
     async def _has_route(self, database: str) -> bool | None:
-        """Return whether a database has a route, None without a configuration."""
-        with anyio.move_on_after(FIRST_CONFIGURATION_TIMEOUT_S):
+        """Return whether a database has a route, None if that is not known.
+
+        A configuration that may be out of date does not tell that a database has
+        none, so the caller waits for a moment.
+        """
+        with anyio.move_on_after(CONFIGURATION_TIMEOUT_S):
             await self.configured.wait()
-        if not self.environment.version:
-            return None
+            while (
+                database not in self.environment.routes
+                and self.mirror.age_s() > CONFIGURATION_MAX_AGE_S
+            ):
+                await self.mirror.progressed.wait()
         if database in self.environment.routes:
             return True
+        is_current = self.mirror.age_s() <= CONFIGURATION_MAX_AGE_S
         log.info(
             "database has no route",
             database=database,
             configuration=self.environment.version,
             revision=self.mirror.revision,
+            age_s=round(self.mirror.age_s(), 3),
             source=self.follower_source.selected,
         )
-        return False
+        return False if self.environment.version and is_current else None
 
     async def _serve_caller(
         self, channel: LineCallerChannel, database: str, caller: str
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -1,6 +1,8 @@
 import anyio
 import pytest
 
+from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.platform.fakes.documents import encode_settings
 from rosemaryward.platform.settings import read_settings
 from rosemaryward.proxy.platform_node import SETTINGS_POLL_INTERVAL_S, PlatformNode
@@ -44,3 +46,55 @@
         if changed_before == "poll":
             write_settings(path, OTHER_STORE_PORT)
     assert node.settings.store_address == f"127.0.0.1:{OTHER_STORE_PORT}"
+
+
+@pytest.mark.parametrize(
+    ("checked_s_ago", "answer"),
+    [
+        pytest.param(0.5, False, id="current"),
+        pytest.param(60.0, None, id="behind"),
+        pytest.param(float("inf"), None, id="never-checked"),
+    ],
+)
+async def test_old_configuration_does_not_tell_that_a_database_is_unknown(
+    tmp_path, checked_s_ago, answer
+):
+    """Guards against a final error for a database that was added meanwhile."""
+    node = make_configured_node(tmp_path)
+    node.mirror.current_at = boot_time_s() - checked_s_ago
+    assert await node._has_route("added") is answer
+    assert await node._has_route("orders") is True
+
+
+async def test_caller_waits_for_a_configuration_that_is_behind(tmp_path):
+    """Guards against rejecting a caller shortly before its database is known."""
+    node = make_configured_node(tmp_path)
+    answers = []
+
+    async def ask():
+        answers.append(await node._has_route("added"))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await anyio.wait_all_tasks_blocked()
+        node.environment = make_environment("orders", "added")
+        node.mirror._notify_progress()
+    assert answers == [True]
+
+
+def make_environment(*databases):
+    return Environment(
+        version=3,
+        routes=dict.fromkeys(databases),
+        groups={},
+        transaction_idle_s=1.0,
+    )
+
+
+def make_configured_node(tmp_path):
+    path = tmp_path / "host.json"
+    write_settings(path, STORE_PORT)
+    node = PlatformNode(read_settings(path), path)
+    node.environment = make_environment("orders")
+    node.configured.set()
+    return node
