--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -21,6 +21,9 @@
     Listing,
     StoredValue,
     StoreRead,
+    generation_of,
+    make_revision,
+    number_of,
 )
 
 __all__ = [
@@ -43,4 +46,7 @@
     "StoreRead",
     "StoredValue",
     "Subscriber",
+    "generation_of",
+    "make_revision",
+    "number_of",
 ]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
@@ -25,6 +25,7 @@
     HistoryLostError,
     Listing,
     StoredValue,
+    generation_of,
 )
 
 __all__ = [
@@ -128,8 +129,10 @@
         """Record that all changes up to a revision are known."""
         if revision <= self.revision:
             return
-        if not self.revision:
+        if not self.revision or generation_of(revision) != generation_of(self.revision):
+            # Followers may know keys that a restored store has lost.
             self.complete_after = revision
+            self.changes = deque(c for c in self.changes if c[0] > revision)
         self.revision = revision
         self.advanced.set()
         self.advanced = anyio.Event()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -159,6 +159,7 @@
         """Apply the changes of successive watches; reload after missed changes."""
         needs_reload = True
         while True:
+            reloads = needs_reload
             with anyio.CancelScope() as self.watch_scope:
                 try:
                     if needs_reload:
@@ -173,6 +174,8 @@
                 except HistoryLostError:
                     log.info("store history lost", revision=self.revision)
                     needs_reload = True
+                    if reloads:
+                        await anyio.sleep(RETRY_PAUSE_S)
                 except StoreError as error:
                     self._set_reachable(False, str(error))
                     await anyio.sleep(RETRY_PAUSE_S)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -1,4 +1,10 @@
-"""Interface of a key-value store with revisions, prefix watches and leases."""
+"""Interface of a key-value store with revisions, prefix watches and leases.
+
+A store that is restored from a copy begins a new generation: it loses what it has
+acknowledged since the copy, and numbers its changes from there again. A revision
+therefore consists of the generation and the store's own number. Revisions never go
+back, and none is given out twice.
+"""
 
 from typing import Protocol
 
@@ -15,8 +21,29 @@
     "Listing",
     "StoreRead",
     "StoredValue",
+    "generation_of",
+    "make_revision",
+    "number_of",
 ]
 
+NUMBER_BITS = 42  # enough for 10,000 changes per second in ten years
+MAX_NUMBER = (1 << NUMBER_BITS) - 1
+
+
+def make_revision(generation: int, number: int) -> int:
+    """Return the revision for a generation and the number of a change in it."""
+    return generation << NUMBER_BITS | number
+
+
+def generation_of(revision: int) -> int:
+    """Return the generation of the store to which a revision belongs."""
+    return revision >> NUMBER_BITS
+
+
+def number_of(revision: int) -> int:
+    """Return the number that the store itself gives to a revision."""
+    return revision & MAX_NUMBER
+
 
 class HistoryLostError(StoreError):
     """The store no longer has all changes after the given revision."""
@@ -111,7 +138,11 @@
 
 
 class LeaseStore(Protocol):
-    """The platform's store; every method raises `StoreError` without an answer."""
+    """The platform's store; every method raises `StoreError` without an answer.
+
+    A write or delete raises `ConflictError` if the expected revision belongs to an
+    earlier generation, or if the store was restored while it was in progress.
+    """
 
     async def list(self, prefix: str) -> Listing:
         """Return all values whose keys start with `prefix`."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
@@ -14,6 +14,7 @@
     StoredValue,
     StoreMirror,
     StoreRead,
+    make_revision,
 )
 from rosemaryward.decisions.mirror.follower import (
     HISTORY_MAX_CHANGES,
@@ -286,3 +287,17 @@
 async def fail_soon(failures):
     await anyio.sleep(SHORT_WAIT_S)
     failures.record("proxy-1", "no reply")
+
+
+async def test_follower_gets_all_values_of_a_restored_store():
+    """Guards against a key of a follower that neither store nor reader has."""
+    history = make_history("a")
+    restored = make_revision(1, 4)
+    history.record_write(value("a", restored))
+    history.advance(restored)
+    reply = await request_changes(history, 12)
+    assert reply.complete
+    assert reply.written == [value("a", restored)]
+    history.record_write(value("a", restored + 1))
+    history.advance(restored + 1)
+    assert not (await request_changes(history, restored)).complete
