--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -89,6 +89,8 @@
         Lease that the record is bound to.
     renewed_at : float
         Boot time at which the last successful renewal of the lease was sent.
+    restored_at : float
+        Boot time at which the last restore of the store was seen.
     leaving : bool
         Whether this process has released the lock and does not acquire it again.
     """
@@ -122,6 +124,7 @@
         self.free_since = clock()
         self.lease_id = 0
         self.renewed_at = float("-inf")
+        self.restored_at = float("-inf")
         self.leaving = False
 
     def mark_registered(self) -> None:
@@ -147,6 +150,12 @@
         self.revision = 0
         self.free_since = self.clock()
 
+    def observe_restore(self) -> None:
+        """Give up the lock, because the store may have lost its record."""
+        log.info("duty ends with the restored store", token=self.token)
+        self.token = 0
+        self.restored_at = self.clock()
+
     def is_held(self) -> bool:
         """Return whether this process certainly holds the lock."""
         record = self.record
@@ -213,6 +222,9 @@
         """Return whether the lock is free and this process may acquire it now."""
         if self.leaving:
             return False
+        # A holder whose record a restored store has lost may act for a lease's time.
+        if self.clock() < self.restored_at + LEASE_TTL_S:
+            return False
         record = self.record
         waited_s = self.clock() - self.free_since
         if record is not None and record.holder == self.holder:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -7,6 +7,7 @@
 from rosemaryward.decisions.leadership import failover_lock as lock_module
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock, LockRecord
 from rosemaryward.decisions.leadership.tests.fakes import MemoryStore
+from rosemaryward.decisions.mirror import make_revision
 
 KEY = "duty"
 
@@ -158,3 +159,45 @@
     clock.now += 10.0
     await step(lock)
     assert not lock.is_held()
+
+
+@pytest.mark.parametrize(
+    "restored_record",
+    [
+        pytest.param(LockRecord("proxy-1", "inc-proxy-1"), id="own-earlier-one"),
+        pytest.param(LockRecord("", "inc-proxy-2"), id="one-that-was-released"),
+        pytest.param(None, id="none"),
+    ],
+)
+async def test_lock_is_not_acquired_while_a_lost_holder_may_act(restored_record):
+    """Guards against a second holder after a restore lost the first one's record."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock, releases=True)
+    lock.observe(LockRecord("proxy-3", "inc-proxy-3"), 12)
+    clock.now += 10.0
+    lock.observe_restore()
+    if restored_record is None:
+        lock.observe_removal()
+        store.values.pop(KEY, None)
+    else:
+        revision = make_revision(1, 9)
+        store.values[KEY] = (msgspec.json.encode(restored_record), revision)
+        lock.observe(restored_record, revision)
+    clock.now += lock_module.LEASE_TTL_S - 0.1
+    await lock._request_release()
+    assert not lock._may_acquire()
+    clock.now += 0.2
+    assert lock._may_acquire()
+
+
+async def test_holder_stops_when_the_store_is_restored():
+    """Guards against a holder that acts under a token from before the restore."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock)
+    clock.now += 10.0
+    await step(lock)
+    assert lock.is_held()
+    lock.observe_restore()
+    assert not lock.is_held()
+    lock.observe(LockRecord("proxy-1", "inc-proxy-1"), make_revision(1, 5))
+    assert not lock.is_held()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -20,6 +20,7 @@
     Listing,
     StoredValue,
     StoreRead,
+    generation_of,
 )
 
 __all__ = ["StoreMirror", "Subscriber"]
@@ -69,6 +70,11 @@
 
     Attributes
     ----------
+    generation : int
+        Generation of the newest read of the store, -1 before the first one.
+    restore_listeners : list of callable
+        Called with the new generation when a read shows that the store was restored,
+        before the values of that read are applied.
     revision : int
         Store revision up to which all changes are known.
     revisions : dict of str to int
@@ -107,6 +113,8 @@
         source: MirrorSource | None = None,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
+        self.restore_listeners: list[Callable[[int], None]] = []
+        self.generation = -1
         self.confirm_through_reader = confirm_through_reader or _no_reader
         self.watch_pause_s = watch_pause_s
         self.store = store
@@ -137,6 +145,7 @@
     async def reload(self) -> None:
         """List all keys and apply the differences; raises `StoreError`."""
         listing = await self.source.list(ALL_KEYS_PREFIX)
+        self._observe_generation(listing.revision)
         present = {stored.key for stored in listing.values}
         for stored in listing.values:
             self._apply_write(stored)
@@ -209,6 +218,7 @@
         """Read the confirmed prefix; raises `StoreError`."""
         sent_at = self.clock()
         listing = await self.store.list(self.confirmed_prefix)
+        self._observe_generation(listing.revision)
         for stored in listing.values:
             self._apply_write(stored)
         self.on_confirmed(sent_at, listing)
@@ -261,6 +271,16 @@
             self._apply_removal(key, revision)
         self._advance(changes.revision)
 
+    def _observe_generation(self, revision: int) -> None:
+        """Report a restore of the store that a read's revision shows."""
+        generation = generation_of(revision)
+        if generation <= self.generation:
+            return
+        if self.generation >= 0:
+            for notify in self.restore_listeners:
+                notify(generation)
+        self.generation = generation
+
     def _advance(self, revision: int) -> None:
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -9,6 +9,7 @@
     StoredValue,
     StoreMirror,
     StoreRead,
+    make_revision,
 )
 from rosemaryward.decisions.mirror.mirror import WATCH_CATCH_UP_S
 
@@ -267,3 +268,22 @@
         await until(lambda: "d/b" in subscriber.values)
         tasks.cancel_scope.cancel()
     assert len(everything) == listings
+
+
+async def test_restore_is_reported_before_its_values():
+    """Guards against applying the records of a restored store as the newest ones."""
+    store = Store()
+    store.put("c/a", b"1")
+    subscriber = Subscriber()
+    seen = []
+    mirror = StoreMirror(store, {"": subscriber}, "c/", lambda *_: None)
+    mirror.restore_listeners.append(
+        lambda generation: seen.append((generation, len(subscriber.changes)))
+    )
+    await mirror.reload()
+    store.revision = make_revision(1, 5)
+    store.put("c/a", b"0")
+    await mirror._read_confirmed()
+    await mirror.reload()
+    assert seen == [(1, 1)]
+    assert subscriber.changes == [("c/a", 11), ("c/a", make_revision(1, 6))]
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -192,6 +192,7 @@
             self.confirmation.watch_pause_s,
             self.follower_source,
         )
+        self.mirror.restore_listeners.append(self._observe_restore)
         self.liveness_delegate = LivenessDelegate(
             settings.name,
             self.members,
@@ -440,6 +441,9 @@
 
     # Changes of values in the store
 
+    def _observe_restore(self, generation: int) -> None:
+        self.failover_lock.observe_restore()
+
     def _apply_configuration(self, name: str, stored: StoredValue) -> None:
         environment = decode_environment(stored.value)
         if environment.version <= self.environment.version:
