--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,6 +1,7 @@
 """Change of a group's primary: announce, fence, promote, publish."""
 
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Protocol
 
 import anyio
@@ -45,6 +46,8 @@
 STATUS_POLL_INTERVAL_S = 0.03
 PROMOTION_TIMEOUT_S = 6.0
 PROMOTION_RETRY_S = 0.1
+ENDPOINT_REPLY_TIMEOUT_S = 1.0  # a busy endpoint turns single status calls away
+RECORD_LOST = "record lost with the restored store"
 
 log = structlog.get_logger(__name__)
 
@@ -199,9 +202,15 @@
             If the store does not answer.
         """
         self.old_primary_silent = old_primary_silent
+        with self._in_progress():
+            await self._run(reason)
+
+    @contextlib.contextmanager
+    def _in_progress(self) -> Iterator[None]:
+        """Count this change as in progress for as long as the context is open."""
         self.context.confirmation.changes_in_progress += 1
         try:
-            await self._run(reason)
+            yield
         finally:
             self.context.confirmation.changes_in_progress -= 1
 
@@ -229,7 +238,7 @@
         known = self.context.leadership.records[self.group]
         known_revision = self.context.leadership.revisions[self.group]
         record = GroupRecord(
-            epoch=known.epoch + 1,
+            epoch=self.context.leadership.next_epoch(self.group),
             primary=known.primary,
             serving=False,
             holder=self.context.lock.holder,
@@ -455,9 +464,9 @@
             serving=True,
             holder=self.context.lock.holder,
         )
+        others = [e for e in self._endpoint_ids() if e != primary]
         revision = await self.context.writer.write(self.group, serving, self.revision)
         self.context.leadership.observe(self.group, serving, revision)
-        others = [e for e in self._endpoint_ids() if e != primary]
         notice = RecordNotice(self.group, serving, revision)
         async with anyio.create_task_group() as tasks:
             for member in self.context.members.live_members():
@@ -465,6 +474,70 @@
                     tasks.start_soon(self._send_record, member, notice)
             await self._query_endpoints(others, self.context.control.release)
 
+    async def restore_record(self) -> None:
+        """Write the newest record of a group to a store that was restored.
+
+        The primary is changed instead, or a change completed, unless the endpoints
+        show that no later change has promoted another one.
+
+        Raises
+        ------
+        ChangeAbandonedError
+            If the failover lock is lost or no replica can be promoted safely.
+        ConflictError
+            If another proxy has changed the record.
+        StoreError
+            If the store does not answer.
+        """
+        with self._in_progress():
+            await self._restore_record()
+
+    async def _restore_record(self) -> None:
+        leadership = self.context.leadership
+        all_answered = await self.context.confirmation.collect_records()
+        known = leadership.records[self.group]
+        if not known.serving or not await self._is_still_primary(
+            known.primary, all_answered
+        ):
+            await self._run(RECORD_LOST)
+            return
+        self.revision = leadership.revisions[self.group]
+        epoch = leadership.next_epoch(self.group)
+        await self._publish(msgspec.structs.replace(known, epoch=epoch), known.primary)
+        log.info(
+            "primary record restored",
+            group=self.group,
+            primary=known.primary,
+            epoch=epoch,
+            known_epoch=known.epoch,
+            all_members_answered=all_answered,
+        )
+
+    async def _is_still_primary(self, primary: str, all_answered: bool) -> bool:
+        """Return whether no other endpoint can have been promoted after a primary.
+
+        Parameters
+        ----------
+        primary : str
+            Id of the endpoint.
+        all_answered : bool
+            Whether every process that may know of a later change has answered.
+        """
+        deadline = self.clock() + ENDPOINT_REPLY_TIMEOUT_S
+        while True:
+            statuses = await self._query_endpoints(
+                self._endpoint_ids(), self.context.control.status
+            )
+            claims = {e: status.is_primary for e, status in statuses.answered.items()}
+            others_claim = any(claims[e] for e in claims if e != primary)
+            if others_claim or not claims.get(primary, True):
+                return False
+            if primary in claims and (all_answered or not statuses.silent):
+                return True
+            if self.clock() >= deadline:
+                return False
+            await anyio.sleep(POSITION_RETRY_S)
+
     async def _send_record(self, member: MemberRecord, notice: RecordNotice) -> None:
         try:
             await self.context.peers.send_record(member, notice)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -27,6 +27,7 @@
     READER_MAX_READ_AGE_S,
     ReaderFailures,
     StoreRead,
+    generation_of,
 )
 
 __all__ = ["Confirmation"]
@@ -118,7 +119,26 @@
         self.read_at = sent_at
         self.members = live
         self.revision = revision
-        self.leadership.confirm(sent_at)
+        self.leadership.confirm(sent_at, generation_of(revision))
+
+    async def collect_records(self) -> bool:
+        """Ask all members for their records, to find those that the store has lost.
+
+        Returns
+        -------
+        bool
+            Whether every process that may have used a primary has answered.
+        """
+        others = [
+            member
+            for member in self.directory.members_to_fence()
+            if member.incarnation != self.incarnation
+        ]
+        replies = await self._ask(others)
+        for reply in replies:
+            self._observe_records(reply)
+        answered = {reply.incarnation for reply in replies}
+        return all(member.incarnation in answered for member in others)
 
     def reply(self, request: ConfirmationRequest) -> ConfirmationReply:
         """Return what the store last confirmed to this process."""
@@ -133,11 +153,17 @@
         return ConfirmationReply(
             age_s=self.clock() - self.read_at,
             registered=registered,
-            changing=self.changes_in_progress > 0,
+            changing=self._may_miss_change(),
             records=records,
             revision=self.revision,
+            incarnation=self.incarnation,
         )
 
+    def _may_miss_change(self) -> bool:
+        """Return whether a change may have begun since the last read of the store."""
+        is_restored = generation_of(self.revision) < self.leadership.generation
+        return self.changes_in_progress > 0 or is_restored
+
     async def confirm_through_reader(self) -> StoreRead | None:
         """Confirm the records through a reader of this process's failure domain.
 
@@ -162,7 +188,7 @@
                 continue
             self._observe_records(reply)
             read_at = asked_at - reply.age_s
-            self.leadership.confirm(read_at)
+            self.leadership.confirm(read_at, generation_of(reply.revision))
             return StoreRead(reply.revision, read_at)
         return None
 
@@ -223,6 +249,35 @@
         """
         asked_at = self.clock()
         others = self._members_to_ask()
+        replies = await self._ask(others)
+        confirming = [
+            reply
+            for reply in replies
+            if reply.registered and reply.age_s < CONFIRMATION_VALIDITY_S
+        ]
+        for reply in replies:
+            self._observe_records(reply)
+        for reply in confirming:
+            generation = generation_of(reply.revision)
+            self.leadership.confirm(asked_at - reply.age_s, generation)
+        if confirming:
+            return "a member that the store answers"
+        # A member whose last read lacks this process may already treat it as absent.
+        generation = generation_of(self.revision)
+        registered = sum(
+            reply.registered and generation_of(reply.revision) == generation
+            for reply in replies
+        )
+        all_registered = registered == len(others) == len(self.members) - 1 > 0
+        changing = self._may_miss_change() or any(reply.changing for reply in replies)
+        within_outage_limit = asked_at < self.read_at + MAX_BRIDGED_OUTAGE_S
+        if all_registered and within_outage_limit and not changing:
+            self.leadership.confirm(asked_at, generation)
+            return "all members, none of which the store answers"
+        return ""
+
+    async def _ask(self, members: Iterable[MemberRecord]) -> list[ConfirmationReply]:
+        """Return the replies of those members that answer."""
         replies: list[ConfirmationReply] = []
 
         async def ask(member: MemberRecord) -> None:
@@ -237,25 +292,9 @@
                 )
 
         async with anyio.create_task_group() as tasks:
-            for member in others:
+            for member in members:
                 tasks.start_soon(ask, member)
-        for reply in replies:
-            self._observe_records(reply)
-        ages = [reply.age_s for reply in replies if reply.registered]
-        if ages and min(ages) < CONFIRMATION_VALIDITY_S:
-            self.leadership.confirm(asked_at - min(ages))
-            return "a member that the store answers"
-        # A member whose last read lacks this process may already treat it as absent.
-        registered = sum(reply.registered for reply in replies)
-        all_registered = registered == len(others) == len(self.members) - 1 > 0
-        changing = self.changes_in_progress > 0 or any(
-            reply.changing for reply in replies
-        )
-        within_outage_limit = asked_at < self.read_at + MAX_BRIDGED_OUTAGE_S
-        if all_registered and within_outage_limit and not changing:
-            self.leadership.confirm(asked_at)
-            return "all members, none of which the store answers"
-        return ""
+        return replies
 
     def _is_recently_confirmed(self, now: float) -> bool:
         """Return whether the store, or a reader, has confirmed the records recently."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -143,11 +143,14 @@
     registered : bool
         Whether that read showed the asking process as a live member.
     changing : bool
-        Whether the member may have announced a change of primary since.
+        Whether a change of primary that the member knows of, or a restore of the
+        store, may have followed.
     records : dict of str to tuple of GroupRecord and int
         Record of each group with its store revision.
     revision : int
         Store revision of that read.
+    incarnation : str
+        Process that answered.
     """
 
     age_s: float
@@ -155,6 +158,7 @@
     changing: bool
     records: dict[str, tuple[GroupRecord, int]]
     revision: int = 0
+    incarnation: str = ""
 
 
 class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -8,17 +8,24 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.mirror.store import generation_of
 from rosemaryward.decisions.types import LogPosition
 
-__all__ = ["CONFIRMATION_VALIDITY_S", "GroupRecord", "Leadership"]
+__all__ = ["CONFIRMATION_VALIDITY_S", "GroupRecord", "Leadership", "first_epoch"]
 
 # A change of primary waits this long for a member that it cannot reach.
 CONFIRMATION_VALIDITY_S = 6.0
 WRITE_DRAIN_TIMEOUT_S = 0.15
+EPOCH_BITS = 20  # changes of one group's primary within a generation of the store
 
 log = structlog.get_logger(__name__)
 
 
+def first_epoch(generation: int) -> int:
+    """Return the epoch above all epochs of earlier generations of the store."""
+    return generation << EPOCH_BITS
+
+
 class GroupRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Primary of a group as agreed in the store.
 
@@ -43,6 +50,10 @@
 class Leadership:
     """Primary records known to a proxy, and until when they are confirmed.
 
+    A store that is restored from a copy may hold older records. A read of it confirms
+    only records whose epoch belongs to its generation, which the holder of the
+    failover lock writes after it has asked the members for the newest ones.
+
     Parameters
     ----------
     clock : callable, optional
@@ -53,9 +64,14 @@
     records : dict of str to GroupRecord
         Newest known record of each group.
     revisions : dict of str to int
-        Store revision of each record, for conditional writes.
+        Revision of each group's record in the store, 0 for none, for conditional
+        writes.
+    generation : int
+        Newest known generation of the store.
     confirmed_at : float
-        Boot time as of which the records were last confirmed.
+        Boot time as of which records were last confirmed.
+    confirmations : dict of int to float
+        The same for the records of each generation.
     fence_epochs : dict of str to int
         Epoch of each group below which its primary must not be used.
     closed_epochs : dict of str to int
@@ -78,8 +94,10 @@
         "changing_since",
         "clock",
         "closed_epochs",
+        "confirmations",
         "confirmed_at",
         "fence_epochs",
+        "generation",
         "records",
         "revisions",
         "running_writes",
@@ -96,19 +114,37 @@
         self.running_writes: dict[str, dict[object, float]] = {}
         self.write_ended = anyio.Event()
         self.acknowledged: dict[str, LogPosition] = {}
+        self.generation = 0
         self.confirmed_at = float("-inf")
+        self.confirmations: dict[int, float] = {}
         self.change_listeners: list[Callable[[str], None]] = []
 
     def observe(self, group: str, record: GroupRecord, revision: int) -> None:
         """Apply a record, unless a newer one is known."""
-        if revision <= self.revisions.get(group, 0):
+        generation = generation_of(revision)
+        self.generation = max(self.generation, generation)
+        # A write that expects a revision of an earlier generation always conflicts.
+        is_in_store = generation == self.generation
+        is_latest_write = is_in_store and revision > self.revisions.get(group, 0)
+        self.revisions.setdefault(group, 0)
+        if is_latest_write:
+            self.revisions[group] = revision
+        known = self.records.get(group)
+        if known is not None and _order(record) <= _order(known):
+            if is_latest_write and _order(record) < _order(known):
+                log.warning(
+                    "older primary record in the store",
+                    group=group,
+                    epoch=record.epoch,
+                    known_epoch=known.epoch,
+                    revision=revision,
+                )
             return
         if record.serving:
             self.closed_epochs[group] = max(
                 self.closed_epochs.get(group, 0), record.epoch
             )
         self.records[group] = record
-        self.revisions[group] = revision
         self._track_change(group)
         log.info(
             "primary record observed",
@@ -122,9 +158,38 @@
         for notify in self.change_listeners:
             notify(group)
 
-    def confirm(self, sent_at: float) -> None:
-        """Confirm the records as of the boot time at which a read was sent."""
+    def observe_removal(self, group: str) -> None:
+        """Record that the store has no record of a group; the known one is kept."""
+        self.revisions[group] = 0
+
+    def observe_restore(self, generation: int) -> None:
+        """Record that the store was restored and may hold older records."""
+        self.generation = max(self.generation, generation)
+
+    def is_established(self, group: str) -> bool:
+        """Return whether a group's record was written in the present generation."""
+        return self.records[group].epoch >= first_epoch(self.generation)
+
+    def next_epoch(self, group: str) -> int:
+        """Return the epoch of the next record of a group."""
+        record = self.records.get(group)
+        known = 0 if record is None else record.epoch
+        return max(known, first_epoch(self.generation)) + 1
+
+    def confirm(self, sent_at: float, generation: int = 0) -> None:
+        """Confirm the records of a generation.
+
+        Parameters
+        ----------
+        sent_at : float
+            Boot time at which the confirming read was sent, in seconds.
+        generation : int
+            Generation of the store that answered the read.
+        """
+        self.generation = max(self.generation, generation)
         self.confirmed_at = max(self.confirmed_at, sent_at)
+        known = self.confirmations.get(generation, float("-inf"))
+        self.confirmations[generation] = max(known, sent_at)
 
     def fence(self, group: str, epoch: int) -> None:
         """Stop using a group's primaries of epochs before `epoch`."""
@@ -212,8 +277,19 @@
     def primary(self, group: str) -> GroupRecord | None:
         """Return the record of a group whose primary may be used now, or None."""
         record = self.records.get(group)
-        if record is None or not record.serving or not self.is_confirmed():
+        if record is None or not record.serving or not self._is_confirmed(record):
             return None
         if record.epoch < self.fence_epochs.get(group, 0):
             return None
         return record
+
+    def _is_confirmed(self, record: GroupRecord) -> bool:
+        """Return whether a read of the record's own generation confirms it."""
+        generation = record.epoch >> EPOCH_BITS
+        confirmed_at = self.confirmations.get(generation, float("-inf"))
+        return self.clock() < confirmed_at + CONFIRMATION_VALIDITY_S
+
+
+def _order(record: GroupRecord) -> tuple[int, bool]:
+    """Return the position of a record among those of its group."""
+    return record.epoch, record.serving
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -94,6 +94,9 @@
         if record is None:
             await self._record_first_primary()
             return
+        if not self.context.leadership.is_established(self.group):
+            await PrimaryChange(self.group, self.context, self.clock).restore_record()
+            return
         reason = await self._replacement_reason(record)
         if reason and self.context.lock.is_held():
             change = PrimaryChange(self.group, self.context, self.clock)
@@ -115,7 +118,7 @@
         if len(claimants) != 1:
             return
         record = GroupRecord(
-            epoch=1,
+            epoch=self.context.leadership.next_epoch(self.group),
             primary=claimants[0].id,
             serving=True,
             holder=self.context.lock.holder,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -188,7 +188,9 @@
         self.promoter = Promoter(self.control)
         self.writer = Writer()
         self.lock = Lock()
-        self.confirmation = Confirmation("inc-proxy-1", self.leadership, self.peers)
+        self.confirmation = Confirmation(
+            "inc-proxy-1", self.leadership, self.peers, directory=self.members
+        )
 
     def context(self):
         return FailoverContext(
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -443,6 +443,7 @@
 
     def _observe_restore(self, generation: int) -> None:
         self.failover_lock.observe_restore()
+        self.leadership.observe_restore(generation)
 
     def _apply_configuration(self, name: str, stored: StoredValue) -> None:
         environment = decode_environment(stored.value)
@@ -473,6 +474,7 @@
 
     def _group_removed(self, name: str) -> None:
         log.warning("group record removed", group=name)
+        self.leadership.observe_removal(name)
 
     def _observe_failover_lock(self, name: str, stored: StoredValue) -> None:
         record = msgspec.json.decode(stored.value, type=LockRecord)
