--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -265,6 +265,7 @@
             announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
         )
         fenced: set[str] = set()
+        all_known = self.context.members.are_all_known()
         # A member that registers after this read has seen the announcement.
         await self.context.refresh_members()
         while self.clock() < confirmations_expire_at:
@@ -273,8 +274,8 @@
                 for member in unfenced:
                     tasks.start_soon(self._fence_member, member, request, fenced)
             self._check_lock()
-            if not self._unfenced(fenced):
-                self.all_members_fenced = True
+            if not self._unfenced(fenced) and self.context.members.are_all_known():
+                self.all_members_fenced = all_known
                 return
             await anyio.sleep(FENCE_RETRY_S)
         log.warning(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -250,6 +250,10 @@
         Boot time at which a registered member was first seen without its key.
     version : int
         Incremented whenever the live members may have changed.
+    restored_at : float
+        Boot time at which the last restore of the store was seen.
+    known_before_restore : list of MemberRecord
+        Members at that time, whose registrations the store may have lost.
     """
 
     def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
@@ -259,6 +263,22 @@
         self.alive: set[str] = set()
         self.absent_since: dict[str, float] = {}
         self.version = 0
+        self.restored_at = float("-inf")
+        self.known_before_restore: list[MemberRecord] = []
+
+    def observe_restore(self) -> None:
+        """Keep the members, which may rely on a confirmation from before a restore."""
+        self.restored_at = self.clock()
+        self.known_before_restore = list(self.members.values())
+
+    def are_all_known(self) -> bool:
+        """Return whether no member unknown to this one can rely on a confirmation.
+
+        A restored store may have lost the registration of a member that this one had
+        not seen.
+        """
+        limit = self.clock() - CONFIRMATION_VALIDITY_S - CLOCK_DRIFT_MARGIN_S
+        return self.restored_at <= limit
 
     def observe(self, member: MemberRecord, revision: int) -> None:
         """Apply a registration; a new process replaces the old one of the same name."""
@@ -304,11 +324,19 @@
     def members_to_fence(self) -> list[MemberRecord]:
         """Return the members that may rely on a confirmation, so need a fence."""
         limit = self.clock() - CONFIRMATION_VALIDITY_S - CLOCK_DRIFT_MARGIN_S
-        return [
+        registered = [
             member
             for name, member in self.members.items()
             if self.absent_since.get(name, self.clock()) > limit
         ]
+        if self.are_all_known():
+            return registered
+        incarnations = {member.incarnation for member in registered}
+        return registered + [
+            member
+            for member in self.known_before_restore
+            if member.incarnation not in incarnations
+        ]
 
     def live_members(self) -> list[MemberRecord]:
         """Return the members whose liveness key is in the store."""
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -443,6 +443,7 @@
 
     def _observe_restore(self, generation: int) -> None:
         self.failover_lock.observe_restore()
+        self.members.observe_restore()
         self.leadership.observe_restore(generation)
 
     def _apply_configuration(self, name: str, stored: StoredValue) -> None:
