--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/liveness.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/liveness.py
@@ -55,6 +55,8 @@
         Boot time of the last request of each of these members.
     key_revisions : dict of str to int
         Store revision of each key that this member has written.
+    key_leases : dict of str to int
+        Lease of each of these keys, with which the store removes them.
     """
 
     def __init__(
@@ -77,6 +79,7 @@
         self.first_asked_at: dict[str, float] = {}
         self.last_asked_at: dict[str, float] = {}
         self.key_revisions: dict[str, int] = {}
+        self.key_leases: dict[str, int] = {}
 
     def record_request(self, incarnation: str) -> None:
         """Record that a process requested a confirmation."""
@@ -108,6 +111,9 @@
     async def check(self, name: str) -> None:
         """Write or remove the key of one member where due; raises `StoreError`."""
         now = self.clock()
+        lease_id = self.lease_id()
+        if lease_id and self.key_leases.get(name, lease_id) != lease_id:
+            self._forget_key(name)
         if now - self.last_asked_at[name] > REQUEST_TIMEOUT_S:
             await self._remove_key(name)
         elif (
@@ -144,6 +150,7 @@
         value = member.incarnation.encode()
         key = self.prefix + name
         self.key_revisions[name] = await self.store.write(key, value, 0, lease_id)
+        self.key_leases[name] = lease_id
         log.info(
             "member sponsored",
             member=name,
@@ -164,4 +171,9 @@
         """Stop tracking a member."""
         self.first_asked_at.pop(name, None)
         self.last_asked_at.pop(name, None)
+        self._forget_key(name)
+
+    def _forget_key(self, name: str) -> None:
+        """Stop tracking the key of a member, which went with its lease."""
         self.key_revisions.pop(name, None)
+        self.key_leases.pop(name, None)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_liveness.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_liveness.py
@@ -107,3 +107,30 @@
     run.clock.now += TURN_INTERVAL_S * 2
     await run.ask()
     assert run.store.values == {}
+
+
+@pytest.mark.parametrize(
+    "remains",
+    [
+        pytest.param(False, id="key-lost"),
+        pytest.param(True, id="key-remains-in-a-restored-store"),
+    ],
+)
+async def test_key_is_written_again_under_a_new_lease(remains):
+    """Guards against a proxy that refuses work after its delegate lost its lease."""
+    run = DelegateScenario()
+    await run.ask()
+    run.clock.now += TURN_INTERVAL_S * 2
+    await run.ask()
+    written = run.store.values[KEY][1]
+    run.members.mark_alive(CUT_OFF)
+    run.lease = 6
+    if remains:
+        await run.ask()
+    # The store removes the key with the lease that it was bound to.
+    del run.store.values[KEY]
+    run.members.mark_absent(CUT_OFF)
+    await run.ask()
+    run.clock.now += TURN_INTERVAL_S * 2
+    await run.ask()
+    assert run.store.values[KEY][1] > written
