--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,6 +1,7 @@
 """Change of a group's primary: announce, fence, promote, publish."""
 
 import contextlib
+import math
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Protocol
 
@@ -10,6 +11,7 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import EndpointError, PeerError, RosemarywardError
+from rosemaryward.decisions.freshness import PositionSamples
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.control import (
@@ -123,6 +125,8 @@
         Counts the changes in progress.
     refresh_members : callable
         Reads the members from the store; raises `StoreError`.
+    group_samples : callable
+        Returns the position samples of a group's primary.
     """
 
     lock: LockState
@@ -135,6 +139,7 @@
     writer: RecordWriter
     confirmation: Confirmation
     refresh_members: Callable[[], Awaitable[None]]
+    group_samples: Callable[[str], PositionSamples]
 
 
 class _ReplicaStatuses(msgspec.Struct, frozen=True):
@@ -408,19 +413,34 @@
         best = max(candidates, key=lambda e: candidates[e].received)
         received = candidates[best].received
         is_complete = received >= newest and not statuses.silent
-        has_all_acknowledged = self.all_members_fenced and received >= self.acknowledged
+        acknowledged = self._newest_acknowledged()
+        has_all_acknowledged = acknowledged is not None and received >= acknowledged
         log.info(
             "candidate",
             group=self.group,
             endpoint=best,
             received=received.to_token(),
             newest=newest.to_token(),
-            acknowledged=self.acknowledged.to_token(),
+            acknowledged="" if acknowledged is None else acknowledged.to_token(),
             silent=statuses.silent,
             chosen=is_complete or has_all_acknowledged,
         )
         return best if is_complete or has_all_acknowledged else None
 
+    def _newest_acknowledged(self) -> LogPosition | None:
+        """Return a position that includes all acknowledged writes, None if unknown.
+
+        Processes that have ended do not answer a fence. A sample of the primary's
+        position that was taken since includes what they have seen acknowledged.
+        """
+        if not self.all_members_fenced:
+            return None
+        ended_at = self.context.members.last_end_at()
+        if math.isinf(ended_at):
+            return self.acknowledged
+        sampled = self.context.group_samples(self.group).required_position(ended_at)
+        return None if sampled is None else max(self.acknowledged, sampled)
+
     async def _promote(self, endpoint_id: str) -> bool:
         """Promote an endpoint and wait; return whether it became the primary."""
         deadline = self.clock() + PROMOTION_TIMEOUT_S
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -237,6 +237,8 @@
     ----------
     clock : callable, optional
         Boot time in seconds.
+    known_since : float, optional
+        Boot time before which processes may have ended unseen, in seconds.
 
     Attributes
     ----------
@@ -254,10 +256,17 @@
         Boot time at which the last restore of the store was seen.
     known_before_restore : list of MemberRecord
         Members at that time, whose registrations the store may have lost.
+    last_left_at : float
+        Boot time at which the last process was seen to have left or been replaced.
     """
 
-    def __init__(self, clock: Callable[[], float] = boot_time_s) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], float] = boot_time_s,
+        known_since: float = float("-inf"),
+    ) -> None:
         self.clock = clock
+        self.last_left_at = known_since
         self.members: dict[str, MemberRecord] = {}
         self.revisions: dict[str, int] = {}
         self.alive: set[str] = set()
@@ -291,6 +300,9 @@
             incarnation=member.incarnation,
             revision=revision,
         )
+        known = self.members.get(member.name)
+        if known is not None and known.incarnation != member.incarnation:
+            self.last_left_at = self.clock()
         self.members[member.name] = member
         self.revisions[member.name] = revision
         self.version += 1
@@ -302,6 +314,7 @@
         """Apply the removal of a registration."""
         if self.members.pop(name, None) is not None:
             log.info("member left", member=name)
+            self.last_left_at = self.clock()
         self.version += 1
         self.revisions.pop(name, None)
         self.absent_since.pop(name, None)
@@ -321,6 +334,22 @@
             log.info("member absent", member=name)
             self.absent_since.setdefault(name, self.clock())
 
+    def last_end_at(self) -> float:
+        """Return when the last process that needs no fence may have used a primary.
+
+        Returns
+        -------
+        float
+            Boot time in seconds, negative infinity if there was no such process.
+        """
+        validity_s = CONFIRMATION_VALIDITY_S + CLOCK_DRIFT_MARGIN_S
+        expired = [
+            since + validity_s
+            for since in (self.restored_at, *self.absent_since.values())
+            if since + validity_s <= self.clock()
+        ]
+        return max([self.last_left_at, *expired])
+
     def members_to_fence(self) -> list[MemberRecord]:
         """Return the members that may rely on a confirmation, so need a fence."""
         limit = self.clock() - CONFIRMATION_VALIDITY_S - CLOCK_DRIFT_MARGIN_S
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -158,8 +158,12 @@
 
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(ask_members)
+            sent_at = self.clock()
             try:
-                await self.context.control.status(endpoint_id)
+                status = await self.context.control.status(endpoint_id)
+                if status.is_primary:
+                    samples = self.context.group_samples(self.group)
+                    samples.record(sent_at, status.received)
                 tasks.cancel_scope.cancel()
             except EndpointError as error:
                 log.info("primary probe failed", endpoint=endpoint_id, error=str(error))
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -3,6 +3,7 @@
 import anyio
 
 from rosemaryward.decisions.errors import ConflictError, EndpointError, PeerError
+from rosemaryward.decisions.freshness import PositionSamples
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
 from rosemaryward.decisions.gateway.tests.fakes import (
     FAR,
@@ -186,6 +187,7 @@
         self.peers.fenced = {"proxy-1": LogPosition(1, 5), "proxy-2": LogPosition(1, 5)}
         self.control = Control(statuses)
         self.promoter = Promoter(self.control)
+        self.samples = PositionSamples()
         self.writer = Writer()
         self.lock = Lock()
         self.confirmation = Confirmation(
@@ -204,6 +206,7 @@
             writer=self.writer,
             confirmation=self.confirmation,
             refresh_members=self._refresh,
+            group_samples=lambda group: self.samples,
         )
 
     async def run(self, reason="test"):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -6,6 +6,7 @@
 from rosemaryward.decisions.gateway.tests.fakes import FAR, GROUP, make_endpoint
 from rosemaryward.decisions.leadership import change as change_module
 from rosemaryward.decisions.leadership.change import ChangeAbandonedError
+from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, member, status
 from rosemaryward.decisions.types import LogPosition
 
@@ -72,6 +73,38 @@
     assert run.promoter.calls == []
 
 
+@pytest.mark.parametrize(
+    ("sample_age_s", "sampled", "promoted"),
+    [
+        pytest.param(0.0, 4, ["i-2"], id="sample-since-and-replica-has-it"),
+        pytest.param(0.0, 5, [], id="sample-since-and-replica-lacks-it"),
+        pytest.param(9.0, 4, [], id="sample-from-before"),
+    ],
+)
+@pytest.mark.parametrize("end", ["replaced", "left", "absent", "before-this-process"])
+async def test_positions_of_ended_processes_are_known_from_later_samples(
+    sample_age_s, sampled, promoted, end
+):
+    """Guards against waiting for a replica whose entries another one surely has."""
+    run = ChangeScenario({"i-2": status(1, 4)})
+    run.peers.fenced = {"proxy-1": LogPosition(1, 4), "proxy-2": LogPosition()}
+    now = run.members.clock()
+    if end == "replaced":
+        run.members.observe(member("proxy-2", "inc-new"), 3)
+    elif end == "left":
+        run.members.remove("proxy-2")
+    elif end == "absent":
+        run.members.mark_absent("proxy-2")
+        run.members.absent_since["proxy-2"] = now - CONFIRMATION_VALIDITY_S - 1.0
+    else:
+        run.members.last_left_at = now
+    sent_at = run.members.clock() - sample_age_s
+    run.samples.record(sent_at, LogPosition(1, sampled))
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run()
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
+
+
 async def test_leaving_replica_is_not_promoted():
     """Guards against a primary that is about to stop."""
     run = ChangeScenario({"i-2": status(1, 6), "i-3": status(1, 6)})
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -114,7 +114,7 @@
         self.statement_log = StatementLog(
             self.metrics, self.leadership, lambda: self.environment.version
         )
-        self.members = MemberDirectory()
+        self.members = MemberDirectory(known_since=boot_time_s())
         self.relay_selector = RelaySelector(
             settings.name, self.members, self._connection_limit
         )
@@ -526,6 +526,7 @@
             writer=self.record_writer,
             confirmation=self.confirmation,
             refresh_members=self.registration.refresh,
+            group_samples=self.target_selector.group_samples,
         )
         return PrimarySupervisor(group, context)
 
