--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -183,7 +183,8 @@
             await self.store.delete(
                 MEMBER_PREFIX + name, self.members.revisions.get(name, 0)
             )
-            await self.store.revoke_lease(self.lease)
+            if self.lease:
+                await self.store.revoke_lease(self.lease)
         except StoreError as error:
             log.info("registration not removed", error=str(error))
 
