--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -156,6 +156,17 @@
         self._advance(listing.revision)
         self.loaded.set()
 
+    async def refresh(self, prefix: str) -> Listing:
+        """Read a prefix from the store and apply its values; raises `StoreError`.
+
+        Removals are left to the watch and to full listings.
+        """
+        listing = await self.store.list(prefix)
+        self._observe_generation(listing.revision)
+        for stored in listing.values:
+            self._apply_write(stored)
+        return listing
+
     def age_s(self) -> float:
         """Return for how many seconds changes may be missing, infinity at first."""
         return self.clock() - self.current_at
@@ -217,10 +228,7 @@
     async def _read_confirmed(self) -> StoreRead:
         """Read the confirmed prefix; raises `StoreError`."""
         sent_at = self.clock()
-        listing = await self.store.list(self.confirmed_prefix)
-        self._observe_generation(listing.revision)
-        for stored in listing.values:
-            self._apply_write(stored)
+        listing = await self.refresh(self.confirmed_prefix)
         self.on_confirmed(sent_at, listing)
         self._set_reachable(True, "")
         return StoreRead(listing.revision, sent_at)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -411,10 +411,14 @@
         )
         return MemberServer(self.settings.peer_address, handler.handle)
 
+    async def _refresh_members(self) -> None:
+        """Read the members from the store; raises `StoreError`."""
+        await self.mirror.refresh(FLEET_PREFIX)
+
     async def _readers(self) -> list[Reader]:
         """Return the proxies that read the store on behalf of this one."""
         if not self.members.members:
-            await self.registration.refresh()
+            await self._refresh_members()
         readers = readers_to_follow(
             self.members, self.settings.name, self.settings.place.failure_domain
         )
@@ -525,7 +529,7 @@
             promoter=self.promoter,
             writer=self.record_writer,
             confirmation=self.confirmation,
-            refresh_members=self.registration.refresh,
+            refresh_members=self._refresh_members,
             group_samples=self.target_selector.group_samples,
         )
         return PrimarySupervisor(group, context)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -17,11 +17,7 @@
     StoredValue,
     StoreMirror,
 )
-from rosemaryward.proxy.platform_keys import (
-    FLEET_PREFIX,
-    LIVENESS_PREFIX,
-    MEMBER_PREFIX,
-)
+from rosemaryward.proxy.platform_keys import LIVENESS_PREFIX, MEMBER_PREFIX
 
 __all__ = ["MemberRegistration"]
 
@@ -87,7 +83,7 @@
         sent_at : float
             Boot time in seconds at which the read was sent.
         listing : Listing
-            Values under `FLEET_PREFIX`.
+            Values under the prefix of the proxies' keys.
         """
         members = []
         alive = {
@@ -109,16 +105,6 @@
                 members.append(record)
         self.confirmation.record_read(sent_at, members, listing.revision)
 
-    async def refresh(self) -> None:
-        """Read the members from the store; raises `StoreError`."""
-        listing = await self.store.list(FLEET_PREFIX)
-        for stored in listing.values:
-            if stored.key.startswith(MEMBER_PREFIX):
-                self.observe(stored.key, stored)
-        for stored in listing.values:
-            if stored.key.startswith(LIVENESS_PREFIX):
-                self.members.mark_alive(stored.key.removeprefix(LIVENESS_PREFIX))
-
     async def run(self, mirror: StoreMirror) -> None:
         """Keep this proxy registered and its lease renewed until cancelled."""
         async with anyio.create_task_group() as tasks:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
@@ -1,6 +1,14 @@
+import anyio
+import httpx
+import msgspec
 import pytest
 
 from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
+from rosemaryward.platform.fakes.documents import encode_settings
+from rosemaryward.platform.fakes.store import FakeStore
+from rosemaryward.platform.settings import read_settings
+from rosemaryward.proxy.platform_keys import MEMBER_PREFIX
+from rosemaryward.proxy.platform_node import PlatformNode
 from rosemaryward.proxy.platform_registration import MemberRegistration
 
 RECORD = MemberRecord("proxy-1", "10.0.0.1:1", "inc-1")
@@ -35,3 +43,25 @@
     await registration.remove()
     assert store.ended_leases == ended
     assert len(store.deleted) == 1
+
+
+async def test_process_registers_after_its_predecessor_left_during_the_start(tmp_path):
+    """Guards against a process that expects a registration that is gone, for good."""
+    path = tmp_path / "host.json"
+    path.write_bytes(encode_settings("host-1", ("north", "a"), [1, 2, 3, 4, 5], 6, 7))
+    node = PlatformNode(read_settings(path), path)
+    server = FakeStore()
+    predecessor = msgspec.json.encode(MemberRecord("host-1", "10.0.0.1:1", "before"))
+    server.put(MEMBER_PREFIX + "host-1", predecessor)
+    app = server.create_app(lambda key, value: value)
+    async with node.store, anyio.create_task_group() as tasks:
+        await node.store.client.aclose()
+        node.store.client = httpx.AsyncClient(transport=httpx.ASGITransport(app))
+        await node._readers()
+        server.delete(MEMBER_PREFIX + "host-1")
+        tasks.start_soon(node.mirror.run)
+        await node.mirror.loaded.wait()
+        await node.registration._renew(node.mirror)
+        tasks.cancel_scope.cancel()
+    assert node.registration.lease
+    assert MEMBER_PREFIX + "host-1" in server.items
