--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
@@ -16,6 +16,7 @@
 from rosemaryward.bench.soak.fleet import Fleet
 from rosemaryward.bench.soak.history import check
 from rosemaryward.bench.soak.maintenance import Maintenance
+from rosemaryward.bench.soak.restores import Restores
 from rosemaryward.platform.fakes.group import MEAN_STATEMENT_DURATION_S
 
 __all__ = ["FaultSelection", "SoakResult", "soak"]
@@ -23,6 +24,9 @@
 MAX_STALENESS_S = 1.5
 START_TIMEOUT_S = 30.0
 RECOVERY_TIMEOUT_S = 20.0
+RECOVERY_LIMIT_S = 12.0  # in which callers are to be served again
+# A store counts as stable 4 s after a fault; a change is then in force in 3 s.
+CONFIGURATION_TIMEOUT_S = 7.0
 QUIET_PERIOD_S = 4.0  # without unplanned faults before a checked SIGTERM
 DRAIN_START_WINDOW_S = 1.0
 FEW_CONNECTIONS = 12  # too few for six proxies, which then use relays
@@ -45,11 +49,14 @@
     PLANNED
         Only series of planned work, so that no unplanned fault excuses a cut
         statement.
+    RESTORED
+        Faults and planned work, drawn one by one, beside restores of the store.
     """
 
     SINGLE = "single"
     MIXED = "mixed"
     PLANNED = "planned"
+    RESTORED = "restored"
 
     @classmethod
     def of_seed(cls, seed: int) -> "FaultSelection":
@@ -111,7 +118,7 @@
     """
     rng = random.Random(seed)
     connections = rng.choice((FEW_CONNECTIONS, MANY_CONNECTIONS))
-    in_series = selection is not FaultSelection.SINGLE
+    in_series = selection in (FaultSelection.MIXED, FaultSelection.PLANNED)
     mean_statement_s = (
         LONG_STATEMENT_DURATION_S if in_series else MEAN_STATEMENT_DURATION_S
     )
@@ -120,6 +127,7 @@
     load = Callers(fleet, random.Random(seed + 1), in_series, is_balanced)
     faults = Faults(fleet, rng)
     maintenance = Maintenance(fleet, faults, random.Random(seed + 2))
+    restores = Restores(fleet, faults, random.Random(seed + 4))
     violations: list[str] = []
     try:
         async with anyio.create_task_group() as tasks:
@@ -135,8 +143,17 @@
                         injection.start_soon(faults.run, duration_s)
                     if in_series:
                         injection.start_soon(maintenance.run, duration_s)
+                    if selection is FaultSelection.RESTORED:
+                        injection.start_soon(restores.run, duration_s)
+                injected_until = time.monotonic()
                 late = await fleet.wait_until_ready(RECOVERY_TIMEOUT_S)
                 violations += [f"recover: {name} is not ready" for name in late]
+                late = await fleet.wait_until_configured(CONFIGURATION_TIMEOUT_S)
+                violations += [f"configuration: {name} has an older" for name in late]
+                if selection is FaultSelection.RESTORED:
+                    # A change of primary may wait for members that the copy lacks.
+                    left_s = injected_until + RECOVERY_LIMIT_S - time.monotonic()
+                    await anyio.sleep(max(left_s, 0.0))
                 recovered_at = time.monotonic()
                 await anyio.sleep(1.0)
                 load.stopping = True
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
@@ -39,6 +39,16 @@
     assert result.succeeded > 0
 
 
+@pytest.mark.timeout(120)
+async def test_promises_hold_when_the_store_is_restored(tmp_path):
+    """Guards against state that was only valid before the store came from a copy."""
+    result = await soak(
+        2, DURATION_S, PROXIES, 3 * PROXIES, tmp_path, ROOT, FaultSelection.RESTORED
+    )
+    assert result.violations == []
+    assert result.succeeded > 0
+
+
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", PLANNED_SEEDS)
 async def test_planned_work_cuts_no_statement(seed, tmp_path):
