Reject registrations that name no usable instance, and contain unexpected errors

Cause: a registration with a port of 5,000 digits was accepted, and int() of it raised ValueError in the connector, which neither the connector nor the supervisor expects; the process ended. A port of 70,000, a host name, 10**30 slots or an id of two words was accepted as an instance as well. A message of another proxy that was nested deeply raised RecursionError in the server of member requests, which ended the process; so did any unexpected error of its handler. Ruled out: deeply nested and undecodable registrations were already passed over. Change: an address needs an IP address and a port from 1 to 65,535, service and id are one word, slots are bounded. RecursionError is a DecodeError in one place for all values and messages. Background tasks of a proxy run again after an unexpected error, and a failed member request ends its connection only.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/stored.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/stored.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.document.schema import Document
 from rosemaryward.decisions.messages import PrimaryRecord
 
@@ -91,7 +92,7 @@
         the wrong type.
     """
     text = data if data.startswith(b"{") else _decompress(data)
-    return msgspec.json.decode(text, type=StoredDocument)
+    return decode_json(text, StoredDocument)
 
 
 def encode_primary(record: PrimaryRecord) -> bytes:
@@ -101,7 +102,7 @@
 
 def decode_primary(data: bytes) -> PrimaryRecord:
     """Decode a value that `encode_primary` returned."""
-    return msgspec.json.decode(data, type=PrimaryRecord)
+    return decode_json(data, PrimaryRecord)
 
 
 def environment_prefix(environment: str) -> str:
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/hosts.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/hosts.py
@@ -7,6 +7,7 @@
 import httpx
 import msgspec
 
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import StoreError
 from rosemaryward.decisions.interfaces import ListedHost
 
@@ -57,7 +58,7 @@
             with anyio.fail_after(self.timeout_s):
                 response = await self._client.get(self.url)
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=list[ListedHost])
+            return decode_json(response.content, list[ListedHost])
         except (TimeoutError, httpx.HTTPError, msgspec.DecodeError) as error:
             self.failures += 1
             raise StoreError(f"host list: {error!r}") from error
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/store.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/store.py
@@ -9,6 +9,7 @@
 import httpx
 import msgspec
 
+from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.decisions.interfaces import VersionedValue
 from rosemaryward.etcd.wire import (
@@ -232,7 +233,7 @@
             with anyio.fail_after(self.timeout_s):
                 response = await self._open_client().post(path, json=body)
             response.raise_for_status()
-            return msgspec.json.decode(response.content, type=kind, strict=False)
+            return _decode(response.content, kind)
         except (TimeoutError, httpx.HTTPError, msgspec.DecodeError) as error:
             self.failures += 1
             raise StoreError(f"{path}: {error!r}") from error
@@ -289,8 +290,15 @@
             yield line
 
 
+def _decode(data: bytes, kind: type[_Reply]) -> _Reply:
+    """Decode a reply, whose numbers may be strings; raises `msgspec.DecodeError`."""
+    return decode_with(
+        lambda text: msgspec.json.decode(text, type=kind, strict=False), data
+    )
+
+
 def _decode_watch_result(line: bytes) -> WatchResult:
-    message = msgspec.json.decode(line, type=WatchMessage, strict=False)
+    message = _decode(line, WatchMessage)
     if message.result is None or message.result.canceled:
         raise StoreError("watch: cancelled by the store")
     return message.result
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/http.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/http.py
@@ -7,6 +7,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import (
     ConflictError,
     DocumentError,
@@ -153,7 +154,7 @@
         If the body is malformed; its path is the wrong field.
     """
     try:
-        return msgspec.json.decode(data, type=kind)
+        return decode_json(data, kind)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         found = ERROR_PATH_PATTERN.search(str(error))
         path = found[1] if found else ""
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.links import decompress
 from rosemaryward.decisions.messages import StatementReply, StatementRequest
@@ -167,6 +168,6 @@
 
 def _decode(decoder: msgspec.msgpack.Decoder, data: bytes):  # type: ignore[no-untyped-def]
     try:
-        return decoder.decode(data)
+        return decode_with(decoder.decode, data)
     except msgspec.DecodeError as error:
         raise PeerError(f"malformed message: {error}") from error
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/gossip.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/gossip.py
@@ -12,6 +12,7 @@
 import msgspec
 import pynng
 
+from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.interfaces import GossipHandler
 from rosemaryward.decisions.messages import (
@@ -179,7 +180,7 @@
         except (TimeoutError, pynng.NNGException) as error:
             raise PeerError(f"no reply from {target.host_id}: {error!r}") from error
         try:
-            return self._reply_decoder.decode(reply)
+            return decode_with(self._reply_decoder.decode, reply)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self.malformed_messages += 1
             raise PeerError(f"{target.host_id} sent a malformed reply") from error
@@ -260,7 +261,7 @@
         self.requests_received += 1
         self.bytes_in += len(data)
         try:
-            request = self._request_decoder.decode(data)
+            request = decode_with(self._request_decoder.decode, data)
         except (msgspec.DecodeError, UnicodeDecodeError):
             self.malformed_messages += 1
             return
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.leadership.members import (
     ConfirmationReply,
@@ -132,7 +133,7 @@
             with anyio.fail_after(timeout_s):
                 async with await anyio.connect_tcp(host, int(port)) as stream:
                     await _send(stream, request)
-                    return _reply_decoder.decode(await _receive(stream))
+                    return decode_with(_reply_decoder.decode, await _receive(stream))
         except (TimeoutError, *_FAILURES) as error:
             raise PeerError(f"{member.name}: {error!r}") from error
 
@@ -167,10 +168,13 @@
         try:
             async with stream:
                 with anyio.fail_after(REQUEST_TIMEOUT_S):
-                    request = _request_decoder.decode(await _receive(stream))
+                    data = await _receive(stream)
+                    request = decode_with(_request_decoder.decode, data)
                 await _send(stream, await self.handler(request))
         except (TimeoutError, PeerError, *_FAILURES) as error:
             log.info("member request failed", error=repr(error))
+        except Exception:  # one failed request must not stop the server
+            log.exception("member request failed unexpectedly")
 
 
 async def _send(stream: SocketStream, message: MemberRequest | MemberReply) -> None:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
 from rosemaryward.decisions.leadership.members import MemberRecord
 from rosemaryward.decisions.links import LinkPurpose
@@ -51,7 +52,7 @@
 
 def _decode_reply(payload: bytes) -> RelayReply:
     try:
-        return _reply_decoder.decode(payload)
+        return decode_with(_reply_decoder.decode, payload)
     except msgspec.DecodeError as error:
         raise PeerError(f"malformed relay reply: {error}") from error
 
@@ -252,7 +253,7 @@
         while True:
             for request_id, payload in reader.feed(data):
                 try:
-                    request = _request_decoder.decode(payload)
+                    request = decode_with(_request_decoder.decode, payload)
                 except msgspec.DecodeError as error:
                     raise PeerError(f"malformed request: {error}") from error
                 if isinstance(request, Ping):
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_members.py
@@ -17,10 +17,16 @@
 from rosemaryward.decisions.types import LogPosition
 from rosemaryward.peers.members import LENGTH_BYTES, MemberClient, MemberServer
 
+UNEXPECTED_REQUEST = ReachabilityRequest("i-0")
 RECORD = GroupRecord(epoch=2, primary="i-1", serving=True, holder="proxy-1")
 
 
+NESTED_REQUEST = b"\x82\xa4type\xa5reach\xa4more" + b"\x91" * 5000
+
+
 async def reply_to(request):
+    if request == UNEXPECTED_REQUEST:
+        raise LookupError(request.endpoint)
     if isinstance(request, FenceRequest):
         return FenceReply(f"{request.group}-{request.epoch}", LogPosition(3, 7))
     if isinstance(request, ReachabilityRequest):
@@ -59,6 +65,10 @@
         pytest.param(b"\xff" * 8, id="too-long"),
         pytest.param((3).to_bytes(LENGTH_BYTES, "big") + b"abc", id="not-a-request"),
         pytest.param(b"\x00", id="cut-off"),
+        pytest.param(
+            len(NESTED_REQUEST).to_bytes(LENGTH_BYTES, "big") + NESTED_REQUEST,
+            id="deeply-nested",
+        ),
     ],
 )
 async def test_malformed_request_ends_only_its_connection(message):
@@ -75,6 +85,17 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_unexpected_error_ends_only_its_connection():
+    """Guards against one request that ends the process of the server."""
+    client = MemberClient()
+    async with anyio.create_task_group() as tasks:
+        member = await serve(tasks)
+        with pytest.raises(PeerError):
+            await client.probe_endpoint(member, UNEXPECTED_REQUEST)
+        assert await client.probe_endpoint(member, ReachabilityRequest("i-1"))
+        tasks.cancel_scope.cancel()
+
+
 async def test_unreachable_member():
     """Guards against a connection error that is not raised as `PeerError`."""
     with pytest.raises(PeerError):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -56,7 +56,7 @@
         name = stored.key.removeprefix(self.prefix)
         try:
             self.on_written(name, stored)
-        except (DocumentError, msgspec.DecodeError, RecursionError) as error:
+        except (DocumentError, msgspec.DecodeError) as error:
             log.warning(
                 "store value cannot be decoded",
                 key=stored.key,
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -5,10 +5,10 @@
 from pathlib import Path
 
 import anyio
-import msgspec
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import (
     PeerError,
     SettingsError,
@@ -55,6 +55,7 @@
 from rosemaryward.platform.promotion import PlatformPromoter
 from rosemaryward.platform.settings import HostSettings, read_settings
 from rosemaryward.platform.store import PlatformStore
+from rosemaryward.proxy.background import run_with_restarts
 from rosemaryward.proxy.platform_keys import (
     FAILOVER_LOCK_KEY,
     FLEET_PREFIX,
@@ -243,13 +244,16 @@
             "proxy starts", incarnation=self.incarnation, place=self.settings.place
         )
         async with self.store, anyio.create_task_group() as tasks:
+            for server in (
+                self.caller_server,
+                self._create_readiness_server(),
+                self._create_metrics_server(),
+                self._create_member_server(),
+                self.relay_server,
+            ):
+                tasks.start_soon(server.run)
             for task in (
                 self.connector.run,
-                self.caller_server.run,
-                self._create_readiness_server().run,
-                self._create_metrics_server().run,
-                self._create_member_server().run,
-                self.relay_server.run,
                 self.relay_client.run,
                 self.mirror.run,
                 self._register,
@@ -261,7 +265,7 @@
                 self._supervise,
                 self._watch_settings,
             ):
-                tasks.start_soon(task)
+                tasks.start_soon(run_with_restarts, task)
             await stopping.wait()
             await self.drain()
             tasks.cancel_scope.cancel()
@@ -474,7 +478,7 @@
         )
 
     def _observe_group(self, name: str, stored: StoredValue) -> None:
-        record = msgspec.json.decode(stored.value, type=GroupRecord)
+        record = decode_json(stored.value, GroupRecord)
         self.leadership.observe(name, record, stored.revision)
 
     def _group_removed(self, name: str) -> None:
@@ -482,7 +486,7 @@
         self.leadership.observe_removal(name)
 
     def _observe_failover_lock(self, name: str, stored: StoredValue) -> None:
-        record = msgspec.json.decode(stored.value, type=LockRecord)
+        record = decode_json(stored.value, LockRecord)
         self.failover_lock.observe(record, stored.revision)
 
     def _failover_lock_removed(self, name: str) -> None:
@@ -515,7 +519,8 @@
                 for endpoint in list(self.directory.endpoints.values()):
                     if endpoint.group not in self.supervised_groups:
                         self.supervised_groups.add(endpoint.group)
-                        tasks.start_soon(self._create_supervisor(endpoint.group).run)
+                        supervisor = self._create_supervisor(endpoint.group)
+                        tasks.start_soon(run_with_restarts, supervisor.run)
                 await anyio.sleep(CLEANUP_INTERVAL_S)
 
     def _create_supervisor(self, group: str) -> PrimarySupervisor:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -5,6 +5,7 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock
@@ -72,7 +73,7 @@
 
     def observe(self, name: str, stored: StoredValue) -> None:
         """Pass the registration of a member to the directory."""
-        record = msgspec.json.decode(stored.value, type=MemberRecord)
+        record = decode_json(stored.value, MemberRecord)
         self.members.observe(record, stored.revision)
 
     def record_store_read(self, sent_at: float, listing: Listing) -> None:
@@ -87,7 +88,7 @@
         """
         members = []
         alive = {
-            stored.key.removeprefix(LIVENESS_PREFIX): stored.value.decode()
+            stored.key.removeprefix(LIVENESS_PREFIX): stored.value
             for stored in listing.values
             if stored.key.startswith(LIVENESS_PREFIX)
         }
@@ -95,13 +96,13 @@
             if not stored.key.startswith(MEMBER_PREFIX):
                 continue
             try:
-                record = msgspec.json.decode(stored.value, type=MemberRecord)
+                record = decode_json(stored.value, MemberRecord)
             except msgspec.DecodeError as error:
                 log.warning(
                     "member record cannot be decoded", key=stored.key, error=str(error)
                 )
                 continue
-            if alive.get(record.name) == record.incarnation:
+            if alive.get(record.name) == record.incarnation.encode():
                 members.append(record)
         self.confirmation.record_read(sent_at, members, listing.revision)
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -1,9 +1,14 @@
+import json
+
 import anyio
+import httpx
 import pytest
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.environment import Environment
+from rosemaryward.platform.configuration import REGISTRATION_PREFIX
 from rosemaryward.platform.fakes.documents import encode_settings
+from rosemaryward.platform.fakes.store import FakeStore
 from rosemaryward.platform.settings import read_settings
 from rosemaryward.proxy.platform_node import SETTINGS_POLL_INTERVAL_S, PlatformNode
 
@@ -82,6 +87,57 @@
     assert answers == [True]
 
 
+VALID_REGISTRATION = {
+    "service": "orders",
+    "address": "127.0.0.1:4000",
+    "zone": "a",
+    "slots": 5,
+    "state": "ready",
+    "db_role": "primary",
+}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b'{"service":' + b"[" * 5000, id="deeply-nested"),
+        pytest.param(
+            json.dumps(VALID_REGISTRATION | {"slots": 10**30}).encode(), id="number"
+        ),
+        pytest.param(
+            json.dumps(VALID_REGISTRATION | {"address": "127.0.0.1:70000"}).encode(),
+            id="port",
+        ),
+        pytest.param(
+            json.dumps(
+                VALID_REGISTRATION | {"address": "127.0.0.1:" + "9" * 5000}
+            ).encode(),
+            id="long-port",
+        ),
+        pytest.param(b"\xff\x00", id="not-json"),
+    ],
+)
+async def test_odd_registration_does_not_stop_the_mirror(tmp_path, value):
+    """Guards against an entry of another writer that ends or blinds the proxy."""
+    node = make_configured_node(tmp_path)
+    server = FakeStore()
+    server.put(REGISTRATION_PREFIX + "odd", value)
+    server.put(REGISTRATION_PREFIX + "one", json.dumps(VALID_REGISTRATION).encode())
+    app = server.create_app(lambda key, stored: stored)
+    async with node.store, anyio.create_task_group() as tasks:
+        await node.store.client.aclose()
+        node.store.client = httpx.AsyncClient(transport=httpx.ASGITransport(app))
+        tasks.start_soon(node.mirror.run)
+        await node.mirror.loaded.wait()
+        server.put(REGISTRATION_PREFIX + "odd-2", value)
+        server.put(REGISTRATION_PREFIX + "two", json.dumps(VALID_REGISTRATION).encode())
+        with anyio.fail_after(5.0):
+            while "two" not in node.directory.endpoints:
+                await node.mirror.progressed.wait()
+        tasks.cancel_scope.cancel()
+    assert set(node.directory.endpoints) == {"one", "two"}
+
+
 def make_environment(*databases):
     return Environment(
         version=3,
