Keep no slot of an endpoint free for urgent statements that are on time

Cause: the queue of an endpoint kept one slot or more free for 60 s after each urgent statement, whose level had risen by rare ones that took 3 ms. Ruled out: a leaked slot or connection (the queue's counters in a trial), a slow instance. Change: the reserve of an endpoint starts at none and grows only while urgent statements that other ranks delayed use more than a fifth of their deadlines.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -192,7 +192,9 @@
         if rank is Rank.URGENT:
             delayed = grant.other_ranks_at_start and grant.waited_s > 0.0
             latency_s = now - grant.arrived_at
-            self.reserve.record(latency_s, service_s, delayed, self.slots)
+            self.reserve.record(
+                latency_s, service_s, delayed, self.slots, grant.deadline_s
+            )
         if self.settings.adaptive and grant.samples_latency:
             running, started_at = grant.running_at_start, grant.started_at
             self.concurrency.record(rank, service_s, running, started_at, now)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/reserve.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/reserve.py
@@ -28,12 +28,17 @@
 
     def __init__(self, settings: AdmissionSettings) -> None:
         self.settings = settings
-        self.level = 1.0
+        self.level = float(settings.minimum_reserve_slots)
         self.service_p99_s = 0.0
         self.last_urgent_arrival_at = float("-inf")
 
     def record(
-        self, latency_s: float, service_s: float, delayed: bool, slots: int
+        self,
+        latency_s: float,
+        service_s: float,
+        delayed: bool,
+        slots: int,
+        deadline_s: float,
     ) -> None:
         """Adjust the level after a completed urgent statement.
 
@@ -48,18 +53,28 @@
             started.
         slots : int
             Maximum level.
+        deadline_s : float
+            Time in seconds from the statement's arrival to its deadline.
         """
         settings = self.settings
         if not self.service_p99_s:
             self.service_p99_s = service_s
-        late = delayed and latency_s > settings.late_latency_ratio * self.service_p99_s
+        late = delayed and latency_s > self._late_after_s(deadline_s)
         step = (late - settings.late_share_target) * settings.reserve_step_slots
-        self.level = max(1.0, min(self.level + step, float(slots)))
+        minimum = float(settings.minimum_reserve_slots)
+        self.level = max(minimum, min(self.level + step, float(slots)))
         above = service_s > self.service_p99_s
         self.service_p99_s *= 1.0 + SERVICE_QUANTILE_STEP * (
             above - (1.0 - SERVICE_QUANTILE)
         )
 
+    def _late_after_s(self, deadline_s: float) -> float:
+        """Return the latency in seconds above which a delayed statement is late."""
+        settings = self.settings
+        if settings.late_deadline_share is not None:
+            return settings.late_deadline_share * deadline_s
+        return settings.late_latency_ratio * self.service_p99_s
+
     def reserved_slots(
         self, rank: Rank, limit: int, now: float, longest_service_s: float
     ) -> int:
@@ -83,4 +98,6 @@
         if longest_service_s <= settings.short_service_ratio * self.service_p99_s:
             return 0
         level = round(self.level)
-        return min(level, limit) if rank is Rank.BULK else max(1, level - 1)
+        if rank is Rank.BULK:
+            return min(level, limit)
+        return max(settings.minimum_reserve_slots, level - 1)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/settings.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/settings.py
@@ -35,6 +35,11 @@
         exceeds `late_latency_ratio` times the p99 service time. The reserve is
         adapted until the share `late_share_target` of urgent statements is late.
         The design target is a ratio of 1.5 and a share of 0.01.
+    late_deadline_share : float or None
+        If given, an urgent statement that other ranks delayed is late only if its
+        latency exceeds this share of its deadline.
+    minimum_reserve_slots : int
+        Slots that are reserved even if no urgent statement is late.
     reserve_step_slots : float
         Slots by which one late urgent statement raises the reserve.
     reserve_poll_interval_s : float
@@ -54,6 +59,8 @@
     short_service_ratio: float = 0.25
     late_latency_ratio: float = 1.3
     late_share_target: float = 0.007
+    late_deadline_share: float | None = None
+    minimum_reserve_slots: int = 1
     reserve_step_slots: float = 0.4
     reserve_poll_interval_s: float = 0.02
     minimum_retry_s: float = 0.02
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -34,6 +34,13 @@
 RELEASE_WAIT_LIMIT_S = 0.15  # while the endpoint accepts no more connections
 CONNECTION_LIMIT_PAUSE_S = 0.1  # between connection attempts at the limit
 
+# The slots are shared with other proxies, so the latency that this proxy observes does
+# not indicate how many statements it may run. An endpoint has few slots, and one that
+# is kept free for rare urgent statements is missing to all others.
+ENDPOINT_ADMISSION = AdmissionSettings(
+    adaptive=False, minimum_reserve_slots=0, late_deadline_share=0.2
+)
+
 log = structlog.get_logger(__name__)
 
 
@@ -278,11 +285,7 @@
         self.endpoint = endpoint
         self.connector = connector
         self.clock = clock
-        # The slots are shared with other proxies, so the latency that this proxy
-        # observes does not indicate how many statements it may run.
-        self.queue = AdmissionQueue(
-            endpoint.slots, {}, AdmissionSettings(adaptive=False)
-        )
+        self.queue = AdmissionQueue(endpoint.slots, {}, ENDPOINT_ADMISSION)
         self.idle_connections: list[PooledConnection] = []
         self.open_count = 0
         self.last_answer_at = float("-inf")
