Report fences through the store where the holder does not reach a member

Cause: a change of primary waits 6.2 s for each member that the holder of the failover lock cannot reach, although the store, or a member that the store answers, can. Change: a member that sees an announcement and gets no request within 0.3 s fences itself and the members that request confirmations from it, and writes the replies to the store, where the holder reads them while members are missing.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -16,13 +16,14 @@
 from rosemaryward.decisions.leadership.change import FailoverContext, PrimaryChange
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.control import EndpointStatus
+from rosemaryward.decisions.leadership.fence_reports import FenceReports
 from rosemaryward.decisions.leadership.members import (
     FenceReply,
     MemberDirectory,
     MemberRecord,
 )
 from rosemaryward.decisions.leadership.records import Leadership
-from rosemaryward.decisions.mirror import LeaseLostError
+from rosemaryward.decisions.mirror import LeaseLostError, Listing, StoredValue
 from rosemaryward.decisions.types import LogPosition
 
 
@@ -46,6 +47,15 @@
         self.values[key] = (value, self.revision)
         return self.revision
 
+    async def list(self, prefix):
+        await anyio.lowlevel.checkpoint()
+        values = [
+            StoredValue(key, value, revision)
+            for key, (value, revision) in self.values.items()
+            if key.startswith(prefix)
+        ]
+        return Listing(values, self.revision)
+
     async def delete(self, key, expected):
         await anyio.lowlevel.checkpoint()
         if self.values.get(key, (None, 0))[1] != expected:
@@ -189,6 +199,7 @@
         self.promoter = Promoter(self.control)
         self.samples = PositionSamples()
         self.writer = Writer()
+        self.store = MemoryStore()
         self.lock = Lock()
         self.confirmation = Confirmation(
             "inc-proxy-1", self.leadership, self.peers, directory=self.members
@@ -207,6 +218,7 @@
             confirmation=self.confirmation,
             refresh_members=self._refresh,
             group_samples=lambda group: self.samples,
+            fence_reports=FenceReports(self.store, "fences/"),
         )
 
     async def run(self, reason="test"):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -10,6 +10,7 @@
 from rosemaryward.decisions.mirror import LeaseStore, StoredValue
 
 __all__ = [
+    "FENCE_PREFIX",
     "FLEET_PREFIX",
     "LIVENESS_PREFIX",
     "FAILOVER_LOCK_KEY",
@@ -23,6 +24,7 @@
 MEMBER_PREFIX = FLEET_PREFIX + "members/"
 LIVENESS_PREFIX = FLEET_PREFIX + "alive/"
 GROUP_PREFIX = FLEET_PREFIX + "groups/"
+FENCE_PREFIX = "rosemaryward-fences/"
 FAILOVER_LOCK_KEY = "rosemaryward-duty"
 
 log = structlog.get_logger(__name__)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -21,6 +21,7 @@
 from rosemaryward.decisions.leadership.change import FailoverContext
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock, LockRecord
+from rosemaryward.decisions.leadership.fence_reports import FenceReporter, FenceReports
 from rosemaryward.decisions.leadership.liveness import LivenessDelegate
 from rosemaryward.decisions.leadership.members import (
     MemberDirectory,
@@ -58,6 +59,7 @@
 from rosemaryward.proxy.background import run_with_restarts
 from rosemaryward.proxy.platform_keys import (
     FAILOVER_LOCK_KEY,
+    FENCE_PREFIX,
     FLEET_PREFIX,
     GROUP_PREFIX,
     LIVENESS_PREFIX,
@@ -162,11 +164,18 @@
             self.leadership,
             self.peers,
             directory=self.members,
-            on_request=lambda incarnation: self.liveness_delegate.record_request(
-                incarnation
-            ),
+            on_request=self._record_confirmation_request,
             reader_failures=self.reader_failures,
         )
+        self.fence_reports = FenceReports(self.store, FENCE_PREFIX)
+        self.fence_reporter = FenceReporter(
+            settings.name,
+            self.incarnation,
+            self.leadership,
+            self.members,
+            self.peers,
+            self.fence_reports,
+        )
         self.registration = MemberRegistration(
             MemberRecord(
                 settings.name,
@@ -261,6 +270,7 @@
                 self.registration.remove_absent_members,
                 self.liveness_delegate.run,
                 self.confirmation.run,
+                self.fence_reporter.run,
                 self._clean_up,
                 self._supervise,
                 self._watch_settings,
@@ -447,6 +457,10 @@
             log.info("previous lock holder unreachable", member=name, error=str(error))
             return False
 
+    def _record_confirmation_request(self, incarnation: str) -> None:
+        self.liveness_delegate.record_request(incarnation)
+        self.fence_reporter.record_request(incarnation)
+
     # Changes of values in the store
 
     def _observe_restore(self, generation: int) -> None:
@@ -536,6 +550,7 @@
             confirmation=self.confirmation,
             refresh_members=self._refresh_members,
             group_samples=self.target_selector.group_samples,
+            fence_reports=self.fence_reports,
         )
         return PrimarySupervisor(group, context)
 
