--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -14,7 +14,6 @@
     Answer,
     ConnectError,
     Failure,
-    RelayLostError,
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.statements import (
@@ -30,6 +29,7 @@
 CONNECT_TIMEOUT_S = 0.6  # allows for one lost SYN packet between regions
 FIRST_AVOIDANCE_S = 0.5
 MAX_AVOIDANCE_S = 4.0
+UNREACHABLE_AVOIDANCE_S = 0.3  # the relay knows when the endpoint answers again
 UNANSWERED_FAILURE_AFTER_S = 0.3  # most statements finish sooner
 RELEASE_WAIT_LIMIT_S = 0.15  # while the endpoint accepts no more connections
 CONNECTION_LIMIT_PAUSE_S = 0.1  # between connection attempts at the limit
@@ -254,6 +254,9 @@
     connection_cap : callable, optional
         Returns how many connections callers' statements may use for a given group,
         None for no cap.
+    relayed : bool, optional
+        Whether the statements run at a relay, which also judges whether the endpoint
+        answers.
 
     Attributes
     ----------
@@ -280,8 +283,10 @@
         connector: Connector,
         clock: Callable[[], float] = boot_time_s,
         connection_cap: Callable[[str], int | None] | None = None,
+        relayed: bool = False,
     ) -> None:
         self.connection_cap = connection_cap
+        self.relayed = relayed
         self.endpoint = endpoint
         self.connector = connector
         self.clock = clock
@@ -327,8 +332,8 @@
         """Record that a statement was not answered.
 
         This is no failure of the endpoint if it has answered another statement since,
-        if the relay was lost, or if the statement timed out after too short a time to
-        tell a slow endpoint from a silent one.
+        or if the statement timed out after too short a time to tell a slow endpoint
+        from a silent one. A missing reply of a relay tells nothing about the endpoint.
 
         Parameters
         ----------
@@ -339,7 +344,7 @@
         reason : str
             Reason for the log.
         """
-        if self.last_answer_at >= sent_at or isinstance(error, RelayLostError):
+        if self.relayed or self.last_answer_at >= sent_at:
             return
         if (
             isinstance(error, TimeoutError)
@@ -348,6 +353,11 @@
             return
         self.record_failure(reason)
 
+    def record_refusal(self, error: ConnectError) -> None:
+        """Avoid the endpoint for a moment if its relay found it unreachable."""
+        if error.failure is Failure.UNREACHABLE:
+            self.avoid_until = self.clock() + UNREACHABLE_AVOIDANCE_S
+
     async def acquire(
         self, wait_s: float, ignore_cap: bool = False
     ) -> PooledConnection:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -412,6 +412,7 @@
                 Failure.BUSY, f"not run: {error}", pool.endpoint.id
             ) from error
         except ConnectError as error:
+            pool.record_refusal(error)
             raise RetryError(error.reason) from error
 
     async def execute(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -13,7 +13,6 @@
     "ConnectError",
     "ConnectionState",
     "Failure",
-    "RelayLostError",
     "RelayUnavailableError",
     "Reply",
     "UnansweredError",
@@ -28,6 +27,7 @@
     NOT_PRIMARY = auto()
     WRONG_ENDPOINT = auto()
     CONNECTION_LIMIT = auto()
+    UNREACHABLE = auto()
     UNKNOWN_STATEMENT = auto()
     ROLLED_BACK = auto()
     FAILED = auto()
@@ -45,6 +45,7 @@
         Failure.NOT_PRIMARY,
         Failure.WRONG_ENDPOINT,
         Failure.CONNECTION_LIMIT,
+        Failure.UNREACHABLE,
         Failure.UNKNOWN_STATEMENT,
     }
 )
@@ -138,7 +139,3 @@
 
 class RelayUnavailableError(ConnectError):
     """The relay cannot be reached; the endpoint itself may be available."""
-
-
-class RelayLostError(UnansweredError):
-    """The relay was lost while it held the statement; the endpoint may be available."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -268,6 +268,7 @@
             pool.release(pooled)
             raise RetryError(reason) from error
         except ConnectError as error:
+            pool.record_refusal(error)
             pool.release(pooled)
             raise RetryError(error.reason) from error
         except BaseException:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -37,6 +37,7 @@
 WATCH_PAUSE_S = 0.3  # a new primary's record is sent to the members directly
 # Shorter than a new process takes to acquire the failover lock.
 MAX_BRIDGED_OUTAGE_S = 10.0
+RELAYED_MAX_AGE_S = 3.0  # of the store's last answer to another member
 
 log = structlog.get_logger(__name__)
 
@@ -75,6 +76,8 @@
         Live members according to that read.
     revision : int
         Store revision of that read.
+    relayed_at : float
+        Boot time of the newest read that another member has passed on.
     """
 
     def __init__(
@@ -98,6 +101,7 @@
         self.read_at = float("-inf")
         self.members: list[MemberRecord] = []
         self.revision = 0
+        self.relayed_at = float("-inf")
 
     def record_read(
         self, sent_at: float, members: Iterable[MemberRecord], revision: int = 0
@@ -188,6 +192,7 @@
                 continue
             self._observe_records(reply)
             read_at = asked_at - reply.age_s
+            self.relayed_at = max(self.relayed_at, read_at)
             self.leadership.confirm(read_at, generation_of(reply.revision))
             return StoreRead(reply.revision, read_at)
         return None
@@ -201,6 +206,10 @@
         is_small = all_members_read_store(self.directory.live_members())
         return 0.0 if is_small else WATCH_PAUSE_S
 
+    def is_relayed(self) -> bool:
+        """Return whether another member has passed on a recent answer of the store."""
+        return self.clock() - self.relayed_at < RELAYED_MAX_AGE_S
+
     def _readers(self) -> list[MemberRecord]:
         """Return the readers that this process asks, empty if it reads itself.
 
@@ -259,6 +268,7 @@
             self._observe_records(reply)
         for reply in confirming:
             generation = generation_of(reply.revision)
+            self.relayed_at = max(self.relayed_at, asked_at - reply.age_s)
             self.leadership.confirm(asked_at - reply.age_s, generation)
         if confirming:
             return "a member that the store answers"
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/liveness.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/liveness.py
@@ -21,6 +21,7 @@
 __all__ = ["LivenessDelegate"]
 
 CHECK_INTERVAL_S = 0.1
+STORE_RETRY_PAUSE_S = 0.5
 TURN_INTERVAL_S = 0.15  # delay of each member behind the one before it
 REQUEST_TIMEOUT_S = 2.5  # a cut-off member sends a request twice a second
 
@@ -107,6 +108,7 @@
                         member=name,
                         error=str(error),
                     )
+                    await anyio.sleep(STORE_RETRY_PAUSE_S)
 
     async def check(self, name: str) -> None:
         """Write or remove the key of one member where due; raises `StoreError`."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
@@ -103,3 +103,21 @@
     assert not members.members_to_fence()
     members.mark_alive("proxy-2")
     assert members.members_to_fence()
+
+
+@pytest.mark.parametrize(
+    ("answer", "relayed"),
+    [
+        pytest.param(reply(0.5), True, id="store-answers-another-member"),
+        pytest.param(reply(), False, id="store-answers-nobody"),
+        pytest.param(reply(0.5, registered=False), False, id="not-registered"),
+    ],
+)
+async def test_member_knows_whether_the_store_answers_others(answer, relayed):
+    """Guards against frequent calls to a store that turns only this member away."""
+    clock = FakeClock()
+    confirmation = make_confirmation(clock)
+    clock.now += CONFIRMATION_VALIDITY_S + 1.0
+    confirmation.peers.confirmations = {"proxy-2": answer, "proxy-3": answer}
+    await confirmation.confirm_through_members()
+    assert confirmation.is_relayed() is relayed
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -25,6 +25,7 @@
     make_revision,
     number_of,
 )
+from rosemaryward.decisions.mirror.store_retry import StoreRetry
 
 __all__ = [
     "READER_MAX_READ_AGE_S",
@@ -44,6 +45,7 @@
     "ReaderFailures",
     "StoreMirror",
     "StoreRead",
+    "StoreRetry",
     "StoredValue",
     "Subscriber",
     "generation_of",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -22,6 +22,7 @@
     StoreRead,
     generation_of,
 )
+from rosemaryward.decisions.mirror.store_retry import StoreRetry
 
 __all__ = ["StoreMirror", "Subscriber"]
 
@@ -29,7 +30,6 @@
 WATCH_WAIT_S = 20.0
 CONFIRM_INTERVAL_S = 1.5
 WATCH_CATCH_UP_S = 0.5  # a watch still behind after this time has missed changes
-RETRY_PAUSE_S = 0.25
 
 log = structlog.get_logger(__name__)
 
@@ -100,6 +100,8 @@
         Set to read the confirmed prefix at once.
     watch_scope : anyio.CancelScope or None
         Scope that cancels the running watch.
+    retry : StoreRetry
+        Pauses after calls that the store did not answer.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self.reachable = True
         self.confirm_requested = anyio.Event()
         self.watch_scope: anyio.CancelScope | None = None
+        self.retry = StoreRetry()
 
     async def run(self) -> None:
         """Watch and check the store until cancelled."""
@@ -195,10 +198,10 @@
                     log.info("store history lost", revision=self.revision)
                     needs_reload = True
                     if reloads:
-                        await anyio.sleep(RETRY_PAUSE_S)
+                        await anyio.sleep(self.retry.next_pause_s())
                 except StoreError as error:
                     self._set_reachable(False, str(error))
-                    await anyio.sleep(RETRY_PAUSE_S)
+                    await anyio.sleep(self.retry.next_pause_s())
             if self.watch_scope.cancelled_caught:
                 needs_reload = self.reload_next
 
@@ -215,7 +218,7 @@
                     read = await self._read_confirmed()
                 except StoreError as error:
                     self._set_reachable(False, str(error))
-                    await anyio.sleep(RETRY_PAUSE_S)
+                    await anyio.sleep(self.retry.next_pause_s())
                     continue
             self._compare(read)
             read_store_next = await self._confirm_requested_within(WATCH_CATCH_UP_S)
@@ -231,6 +234,7 @@
         listing = await self.refresh(self.confirmed_prefix)
         self.on_confirmed(sent_at, listing)
         self._set_reachable(True, "")
+        self.retry.record_answer()
         return StoreRead(listing.revision, sent_at)
 
     async def _confirm_requested_within(self, wait_s: float) -> bool:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -14,7 +14,6 @@
     ConnectError,
     ConnectionState,
     Failure,
-    RelayLostError,
     RelayUnavailableError,
     UnansweredError,
 )
@@ -194,17 +193,16 @@
         ------
         ConnectError
             If the relay refused the statement, which then did not run.
-        RelayLostError
-            If the relay was lost before it replied.
         UnansweredError
-            If the endpoint gave the relay no complete answer.
+            If the relay was lost before it replied, or the endpoint gave it no
+            complete answer.
         """
         assert self.link is not None
         try:
             reply = await self.link.request(message)
         except OutcomeUnknownError as error:
             self.lease = 0
-            raise RelayLostError(
+            raise UnansweredError(
                 f"relay {self.link.name} was lost before it replied: {error}"
             ) from error
         if isinstance(reply, Answered):
@@ -320,7 +318,9 @@
             return direct
         relayed = self.relayed.get(endpoint_id)
         if relayed is None or relayed.endpoint.address != direct.endpoint.address:
-            relayed = EndpointPool(direct.endpoint, self.connector, self.clock)
+            relayed = EndpointPool(
+                direct.endpoint, self.connector, self.clock, relayed=True
+            )
             self.relayed[endpoint_id] = relayed
         elif relayed.endpoint != direct.endpoint:
             relayed.update(direct.endpoint)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -132,6 +132,10 @@
             return Refused(
                 Failure.WRONG_ENDPOINT, f"endpoint {endpoint_id} is not registered"
             )
+        if pool.suspect:
+            return Refused(
+                Failure.UNREACHABLE, f"endpoint {endpoint_id} does not answer"
+            )
         return self.check_epoch(pool, admission) or pool
 
     def check_epoch(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -2,6 +2,7 @@
 import pytest
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.gateway.connections import UNREACHABLE_AVOIDANCE_S
 from rosemaryward.decisions.gateway.environment import ReadPolicy
 from rosemaryward.decisions.gateway.outcomes import (
     ConnectError,
@@ -108,6 +109,31 @@
     assert len(harness.link_provider.links) == 2
 
 
+async def test_silent_relay_does_not_make_its_endpoint_suspect():
+    """Guards against refusals for seconds after another relay has taken over."""
+    harness = RelayedGatewayHarness()
+    pool = harness.pools.pool("i-1")
+    sent_at = harness.clock()
+    harness.clock.now += 1.0
+    pool.record_unanswered(sent_at, TimeoutError(), "no reply")
+    assert not pool.suspect
+
+
+async def test_relay_refuses_statements_for_an_endpoint_that_does_not_answer():
+    """Guards against a statement that waits for a connection attempt to time out."""
+    harness = RelayedGatewayHarness()
+    harness.relay.pool(harness.relay.primary).record_failure("silent")
+    pool = harness.pools.pool("i-1")
+    connection = await pool.connector.connect(pool.endpoint)
+    with pytest.raises(ConnectError) as refused:
+        await connection.execute(parse_statement("WRITE k v"), "", None, ADMISSION)
+    pool.record_refusal(refused.value)
+    assert harness.relay.primary.connections == []
+    assert pool.suspect
+    harness.clock.now += UNREACHABLE_AVOIDANCE_S
+    assert not pool.suspect
+
+
 async def test_unreachable_relay_is_avoided():
     """Guards against refusing statements while the endpoint itself is reachable."""
     harness = RelayedGatewayHarness()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -37,6 +37,7 @@
     ReaderFailures,
     StoredValue,
     StoreMirror,
+    StoreRetry,
 )
 from rosemaryward.decisions.relays.connections import RelayConnector, StatementPools
 from rosemaryward.decisions.relays.selection import RelaySelector, relay_capacity
@@ -189,6 +190,7 @@
             self.members,
             self.failover_lock,
             self.confirmation,
+            StoreRetry(self.confirmation.is_relayed),
         )
         self.follower_source = FollowerSource(
             self.store, self._readers, self.reader_failures
@@ -203,6 +205,7 @@
             self.follower_source,
         )
         self.mirror.restore_listeners.append(self._observe_restore)
+        self.mirror.retry = StoreRetry(self.confirmation.is_relayed)
         self.liveness_delegate = LivenessDelegate(
             settings.name,
             self.members,
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -17,6 +17,7 @@
     Listing,
     StoredValue,
     StoreMirror,
+    StoreRetry,
 )
 from rosemaryward.proxy.platform_keys import LIVENESS_PREFIX, MEMBER_PREFIX
 
@@ -46,6 +47,8 @@
         Told when this process is registered; its holder removes absent members.
     confirmation : Confirmation
         Receives each read of the store that shows the living members.
+    retry : StoreRetry, optional
+        Pauses after calls that the store did not answer.
 
     Attributes
     ----------
@@ -62,6 +65,7 @@
         members: MemberDirectory,
         failover_lock: FailoverLock,
         confirmation: Confirmation,
+        retry: StoreRetry | None = None,
     ) -> None:
         self.record = record
         self.store = store
@@ -70,6 +74,7 @@
         self.confirmation = confirmation
         self.lease = 0
         self.initial_lease = 0
+        self.retry = retry or StoreRetry()
 
     def observe(self, name: str, stored: StoredValue) -> None:
         """Pass the registration of a member to the directory."""
@@ -115,6 +120,7 @@
             pause_s = LIVENESS_RENEWAL_INTERVAL_S
             try:
                 await self._renew(mirror)
+                self.retry.record_answer()
             except LeaseLostError:
                 log.warning("liveness lease lost", lease=self.lease)
                 self.lease = 0
@@ -124,7 +130,7 @@
                 pause_s = RETRY_PAUSE_S
             except StoreError as error:
                 log.info("registration failed", error=str(error))
-                pause_s = RETRY_PAUSE_S
+                pause_s = self.retry.next_pause_s()
             await anyio.sleep(pause_s)
 
     async def _renew(self, mirror: StoreMirror) -> None:
