Send reads to less loaded endpoints

Cause: a proxy sends a read to the nearest endpoint that it does not fill by itself. Change: a relay reports the load of its endpoint with each answer. Between a load of 0.6 and 1 a growing share of the reads moves on to the next endpoint; reads count a primary as loaded earlier than a replica.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -113,6 +113,18 @@
             for rank in Rank
         }
 
+    def mean_load(self) -> float:
+        """Return the mean share of the slots in use, and the queued requests per slot.
+
+        Returns
+        -------
+        float
+            Sum of both; 1 or more if new requests have to wait.
+        """
+        self._update_accounts(current_time())
+        used = sum(account.mean_slots_used for account in self.accounts)
+        return (used + self.queued) / self.limit
+
     def set_slots(self, slots: int) -> None:
         """Change the declared slots; running statements are not interrupted."""
         self._update_accounts(current_time())
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -14,6 +14,7 @@
     Answer,
     ConnectError,
     Failure,
+    RelayUnavailableError,
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.statements import (
@@ -30,6 +31,8 @@
 FIRST_AVOIDANCE_S = 0.5
 MAX_AVOIDANCE_S = 4.0
 UNREACHABLE_AVOIDANCE_S = 0.3  # the relay knows when the endpoint answers again
+RELAY_LOAD_MAX_AGE_S = 2.0
+REFUSED_LOAD = 2.0  # of an endpoint whose relay refuses statements
 UNANSWERED_FAILURE_AFTER_S = 0.3  # most statements finish sooner
 RELEASE_WAIT_LIMIT_S = 0.15  # while the endpoint accepts no more connections
 CONNECTION_LIMIT_PAUSE_S = 0.1  # between connection attempts at the limit
@@ -275,6 +278,10 @@
         reached its connection limit, in seconds.
     failures : int
         Failures since the last answer.
+    relay_load : float
+        Load of the endpoint's slots that its relay reported last.
+    relay_load_at : float
+        Boot time of that report, in seconds.
     """
 
     def __init__(
@@ -298,6 +305,8 @@
         self.avoidance_s = 0.0
         self.connect_paused_until = float("-inf")
         self.failures = 0
+        self.relay_load = 0.0
+        self.relay_load_at = float("-inf")
         self.connection_released = anyio.Event()
         self.closed = False
 
@@ -306,8 +315,20 @@
         """Whether the endpoint recently failed to answer and is to be avoided."""
         return self.clock() < self.avoid_until
 
+    @property
+    def load(self) -> float:
+        """Load of the endpoint's slots, 0 if nothing recent is known.
+
+        A direct pool knows the statements of this proxy only.
+        """
+        if not self.relayed:
+            return (self.queue.running + self.queue.queued) / self.queue.limit
+        is_recent = self.clock() - self.relay_load_at < RELAY_LOAD_MAX_AGE_S
+        return self.relay_load if is_recent else 0.0
+
     def record_answer(self, answer: Answer) -> None:
         """Record that the endpoint answered, which ends its avoidance."""
+        self._record_load(answer.load)
         self.last_answer_at = self.clock()
         if self.failures:
             log.info("endpoint regained", endpoint=self.endpoint.id)
@@ -354,9 +375,17 @@
         self.record_failure(reason)
 
     def record_refusal(self, error: ConnectError) -> None:
-        """Avoid the endpoint for a moment if its relay found it unreachable."""
+        """Record that the endpoint is unreachable or overloaded for its relay."""
         if error.failure is Failure.UNREACHABLE:
             self.avoid_until = self.clock() + UNREACHABLE_AVOIDANCE_S
+        elif error.failure is Failure.BUSY and not isinstance(
+            error, RelayUnavailableError
+        ):
+            self._record_load(REFUSED_LOAD)
+
+    def _record_load(self, load: float) -> None:
+        self.relay_load = load
+        self.relay_load_at = self.clock()
 
     async def acquire(
         self, wait_s: float, ignore_cap: bool = False
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -81,6 +81,8 @@
         Positions of the primary's log that a relay has seen. Each includes every
         commit that was acknowledged before the given time, in seconds since the
         statement was sent to the relay.
+    load : float
+        Load of the endpoint's slots at the relay, as of `AdmissionQueue.mean_load`.
     """
 
     rows: list[str]
@@ -90,6 +92,7 @@
     failure: Failure | None = None
     reason: str = ""
     samples: list[tuple[float, LogPosition]] = []
+    load: float = 0.0
 
 
 class Reply(msgspec.Struct, frozen=True):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -1,5 +1,6 @@
 """Selection of the endpoint that runs a statement."""
 
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -23,6 +24,11 @@
 FIRST_LAG_PAUSE_S = 0.1
 MAX_LAG_PAUSE_S = 0.8  # each try of a replica that still lags costs a round trip
 
+# Between these loads, a growing share of the reads moves on to the next endpoint.
+FIRST_SPILL_LOAD = 0.6
+FULL_SPILL_LOAD = 1.0
+PRIMARY_LOAD_HANDICAP = 0.2  # keeps slots of a primary for writes
+
 
 class Target(msgspec.Struct, frozen=True):
     """Endpoint selected for a statement.
@@ -58,6 +64,8 @@
     find_pool : callable, optional
         Returns the pool through which statements reach an endpoint, None if it is
         not registered.
+    draw : callable, optional
+        Returns a random number from 0 to 1.
 
     Attributes
     ----------
@@ -76,7 +84,9 @@
         place: Place,
         clock: Callable[[], float] = boot_time_s,
         find_pool: Callable[[str], EndpointPool | None] | None = None,
+        draw: Callable[[], float] = random.random,
     ) -> None:
+        self.draw = draw
         self.find_pool = find_pool or directory.pools.get
         self.directory = directory
         self.leadership = leadership
@@ -129,11 +139,12 @@
         if primary is not None and self._is_near_and_free(primary.pool):
             return primary
         required = self._required_position(route, received_at, session_position)
+        replica = None
         if required is not None:
             replica = self._select_replica(route.group, tried)
-            if replica is not None:
-                return Target(replica, None, required)
-        return primary
+        if replica is None or self._is_overloaded_beside(replica, primary):
+            return primary
+        return Target(replica, None, required)
 
     def record_answer(self, target: Target, sent_at: float, answer: Answer) -> None:
         """Update the endpoint's health, lag and position samples from an answer.
@@ -175,10 +186,25 @@
         return self.samples.setdefault(group, PositionSamples())
 
     def _is_near_and_free(self, pool: EndpointPool) -> bool:
-        """Return whether the endpoint is in this failure domain and has a free slot."""
+        """Return whether a primary of this failure domain has slots for reads."""
         if distance(pool.endpoint.place, self.place) != SAME_DOMAIN_DISTANCE:
             return False
-        return pool.queue.running < pool.queue.limit
+        return not self._spills(pool, pool.load + PRIMARY_LOAD_HANDICAP)
+
+    def _spills(self, pool: EndpointPool, load: float) -> bool:
+        """Return whether a read goes to another endpoint because of the load."""
+        if pool.queue.running >= pool.queue.limit:
+            return True
+        excess = load - FIRST_SPILL_LOAD
+        return excess > self.draw() * (FULL_SPILL_LOAD - FIRST_SPILL_LOAD)
+
+    def _is_overloaded_beside(
+        self, replica: EndpointPool, primary: Target | None
+    ) -> bool:
+        """Return whether a read is served sooner by the primary than by a replica."""
+        if primary is None or replica.load < FULL_SPILL_LOAD:
+            return False
+        return primary.pool.load + PRIMARY_LOAD_HANDICAP < replica.load
 
     def _required_position(
         self, route: Route, received_at: float, session_position: LogPosition
@@ -203,10 +229,13 @@
         return max(required, session_position)
 
     def _select_replica(self, group: str, tried: set[str]) -> EndpointPool | None:
-        """Return the pool of the nearest usable replica, preferably with free slots."""
+        """Return the pool of a usable replica: the nearest one with free slots.
+
+        If all are loaded, it is the one with the lowest load.
+        """
         now = self.clock()
         record = self.leadership.records.get(group)
-        candidates = []
+        candidates: list[tuple[bool, float, int, str]] = []
         for endpoint in self.directory.in_group(group):
             if endpoint.leaving or endpoint.id in tried:
                 continue
@@ -219,8 +248,10 @@
                 continue
             if self.lag_avoid_until.get(endpoint.id, now) > now:
                 continue
-            busy = pool.queue.running >= pool.queue.limit
-            candidates.append((busy, distance(endpoint.place, self.place), endpoint.id))
+            load = pool.load
+            spills = self._spills(pool, load)
+            away = distance(endpoint.place, self.place)
+            candidates.append((spills, load if spills else 0.0, away, endpoint.id))
         if not candidates:
             return None
-        return self.find_pool(min(candidates)[2])
+        return self.find_pool(min(candidates)[3])
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -1,6 +1,7 @@
 import pytest
 
 from rosemaryward.decisions.freshness import PositionSamples
+from rosemaryward.decisions.gateway.connections import RELAY_LOAD_MAX_AGE_S
 from rosemaryward.decisions.gateway.environment import ReadPolicy
 from rosemaryward.decisions.gateway.outcomes import (
     Answer,
@@ -10,6 +11,7 @@
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.tests.fakes import (
+    FAR,
     GROUP,
     NEAR,
     GatewayHarness,
@@ -46,6 +48,66 @@
     assert target.min_position == (None if since is None else LogPosition(*since))
 
 
+@pytest.mark.parametrize(
+    ("policy", "loads", "draw", "expected"),
+    [
+        pytest.param(BOUNDED, (0.0, 0.5, 0.0), 0.0, "i-2", id="nearest"),
+        pytest.param(BOUNDED, (0.0, 0.8, 0.0), 0.9, "i-2", id="near-loaded-stays"),
+        pytest.param(BOUNDED, (0.0, 0.8, 0.0), 0.1, "i-3", id="near-loaded-spills"),
+        pytest.param(BOUNDED, (0.0, 1.2, 0.0), 0.9, "i-3", id="near-full"),
+        pytest.param(BOUNDED, (0.9, 1.5, 1.2), 0.5, "i-1", id="replicas-full"),
+        pytest.param(BOUNDED, (1.1, 1.5, 1.2), 0.5, "i-3", id="primary-full-too"),
+        pytest.param(OWN, (0.0, 1.2, 0.0), 0.9, "i-3", id="own-writes-near-full"),
+        pytest.param(
+            ReadPolicy.PRIMARY, (1.5, 0.0, 0.0), 0.0, "i-1", id="primary-route"
+        ),
+    ],
+)
+def test_reads_leave_loaded_endpoints(policy, loads, draw, expected):
+    """Guards against refusals at the nearest endpoint beside idle ones."""
+    harness = GatewayHarness(policy)
+    harness.sample_primary()
+    harness.selector.draw = lambda: draw
+    instances = (harness.primary, harness.near, harness.far)
+    for instance, load in zip(instances, loads, strict=True):
+        pool = harness.pool(instance)
+        pool.relayed = True
+        pool._record_load(load)
+    target = harness.selector.select_read(harness.route, harness.clock(), NONE, set())
+    assert target.pool.endpoint.id == expected
+
+
+@pytest.mark.parametrize(
+    ("load", "expected"),
+    [
+        pytest.param(0.3, "i-1", id="idle"),
+        pytest.param(0.9, "i-2", id="loaded"),
+    ],
+)
+def test_reads_leave_slots_of_a_near_primary_to_writes(load, expected):
+    """Guards against writes that are refused because reads hold all slots."""
+    harness = GatewayHarness(BOUNDED)
+    harness.selector.place = FAR
+    harness.sample_primary()
+    harness.selector.draw = lambda: 0.5
+    pool = harness.pool(harness.primary)
+    pool.relayed = True
+    pool._record_load(load)
+    target = harness.selector.select_read(harness.route, harness.clock(), NONE, set())
+    assert (target.pool.endpoint.id == "i-1") is (expected == "i-1")
+
+
+def test_report_of_a_relay_expires():
+    """Guards against an endpoint that stays unused after a moment of load."""
+    harness = GatewayHarness(BOUNDED)
+    pool = harness.pool(harness.near)
+    pool.relayed = True
+    pool.record_refusal(ConnectError(Failure.BUSY, "overloaded"))
+    assert pool.load > 1.0
+    harness.clock.now += RELAY_LOAD_MAX_AGE_S
+    assert pool.load == 0.0
+
+
 def test_session_position_of_an_earlier_term_is_replaced():
     """Guards against requiring a position that a promotion discarded."""
     harness = GatewayHarness(OWN)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -171,6 +171,7 @@
             Answer of the endpoint.
         """
         pool.record_answer(answer)
+        answer = msgspec.structs.replace(answer, load=round(pool.queue.mean_load(), 2))
         if not admission.epoch or answer.position is None:
             return Answered(answer)
         if answer.failure is Failure.NOT_PRIMARY:
