--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/prober.py
@@ -0,0 +1,61 @@
+"""Probes of endpoints that did not answer, so that they are used again soon."""
+
+import anyio
+import structlog
+
+from rosemaryward.decisions.errors import EndpointError
+from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.leadership.control import EndpointControl
+
+__all__ = ["EndpointProber"]
+
+PROBE_INTERVAL_S = 0.3
+
+log = structlog.get_logger(__name__)
+
+
+class EndpointProber:
+    """Asks avoided endpoints for their status; an answer ends the avoidance.
+
+    Statements leave an avoided endpoint alone, and a relay refuses them at once, so
+    none of them would find out that it answers again.
+
+    Parameters
+    ----------
+    directory : EndpointDirectory
+        Endpoints with the direct pools of this proxy.
+    control : EndpointControl
+        Requests the status of an endpoint.
+
+    Attributes
+    ----------
+    probing : set of str
+        Ids of the endpoints with a probe in progress.
+    """
+
+    def __init__(self, directory: EndpointDirectory, control: EndpointControl) -> None:
+        self.directory = directory
+        self.control = control
+        self.probing: set[str] = set()
+
+    async def run(self) -> None:
+        """Probe avoided endpoints until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for endpoint_id, pool in self.directory.pools.items():
+                    if pool.suspect and endpoint_id not in self.probing:
+                        self.probing.add(endpoint_id)
+                        tasks.start_soon(self._probe, endpoint_id)
+                await anyio.sleep(PROBE_INTERVAL_S)
+
+    async def _probe(self, endpoint_id: str) -> None:
+        try:
+            await self.control.status(endpoint_id)
+        except EndpointError as error:
+            log.debug(
+                "probe of an avoided endpoint failed",
+                endpoint=endpoint_id,
+                error=str(error),
+            )
+        finally:
+            self.probing.discard(endpoint_id)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
@@ -20,8 +20,13 @@
     FenceReply,
     FenceRequest,
     MemberDirectory,
+    MemberRecord,
     PeerChannel,
 )
+from rosemaryward.decisions.leadership.readers import (
+    all_members_read_store,
+    readers_to_follow,
+)
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_VALIDITY_S,
     Leadership,
@@ -31,6 +36,7 @@
 __all__ = ["FenceReporter", "FenceReports"]
 
 DIRECT_REQUEST_WAIT_S = 0.3  # the holder's request usually arrives sooner
+FOLLOWER_WAIT_S = 1.2  # lets the reader of a large fleet report its followers first
 WRITE_ATTEMPTS = 3
 REPORT_LEASE_S = 15.0  # longer than a change waits for any member
 
@@ -177,14 +183,17 @@
 
     async def report(self, request: FenceRequest) -> None:
         """Fence a primary and report it, unless the holder requests it directly."""
-        await anyio.sleep(DIRECT_REQUEST_WAIT_S)
+        own = self.members.members.get(self.name)
+        domain = "" if own is None else own.place.failure_domain
+        follows = readers_to_follow(self.members, self.name, domain)
+        await anyio.sleep(FOLLOWER_WAIT_S if follows else DIRECT_REQUEST_WAIT_S)
         if self._is_fenced(request) or not self._is_changing(request):
             return
         position = await self.leadership.fence_and_drain(request.group, request.epoch)
         replies = [FenceReply(self.incarnation, position)]
         async with anyio.create_task_group() as tasks:
-            for incarnation in list(self.asked_at):
-                tasks.start_soon(self._ask, incarnation, request, replies)
+            for member in self._members_to_ask():
+                tasks.start_soon(self._ask, member, request, replies)
         await self._write(request, replies)
 
     def _is_fenced(self, request: FenceRequest) -> bool:
@@ -194,21 +203,40 @@
         record = self.leadership.records[request.group]
         return record.epoch == request.epoch and not record.serving
 
+    def _members_to_ask(self) -> list[MemberRecord]:
+        """Return the members to fence on behalf of the holder.
+
+        A member that lacks the store requests confirmations from all readers of a large
+        fleet; only the reader that it would follow reports it.
+        """
+        asking = [
+            member
+            for member in self.members.members.values()
+            if member.incarnation in self.asked_at
+            and member.incarnation != self.incarnation
+        ]
+        if all_members_read_store(self.members.members.values()):
+            return asking
+        return [m for m in asking if self._is_followed_by(m)]
+
+    def _is_followed_by(self, member: MemberRecord) -> bool:
+        """Return whether this member is the first reader that another one follows."""
+        domain = member.place.failure_domain
+        readers = readers_to_follow(self.members, member.name, domain)
+        return bool(readers) and readers[0].name == self.name
+
     async def _ask(
-        self, incarnation: str, request: FenceRequest, replies: list[FenceReply]
+        self, member: MemberRecord, request: FenceRequest, replies: list[FenceReply]
     ) -> None:
         """Fence a member and add its reply if it answers."""
-        for member in list(self.members.members.values()):
-            if member.incarnation != incarnation or incarnation == self.incarnation:
-                continue
-            try:
-                replies.append(await self.peers.fence(member, request))
-            except PeerError as error:
-                log.info(
-                    "fence request to a member failed",
-                    member=member.name,
-                    error=str(error),
-                )
+        try:
+            replies.append(await self.peers.fence(member, request))
+        except PeerError as error:
+            log.info(
+                "fence request to a member failed",
+                member=member.name,
+                error=str(error),
+            )
 
     async def _write(self, request: FenceRequest, replies: list[FenceReply]) -> None:
         for _ in range(WRITE_ATTEMPTS):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -25,6 +25,7 @@
 STALL_CHECK_INTERVAL_S = 0.25
 
 MAX_PROBING_MEMBERS = 11  # probes use slots of an endpoint that may only be busy
+MIN_ANSWERED_SHARE = 0.25  # of the asked members; others may have ended as well
 
 PRIMARY_SILENT = "primary silent"
 
@@ -172,7 +173,11 @@
         return unreachable and silent_s >= REPLACE_AFTER_SILENCE_S
 
     async def _is_unreachable_for_most(self, endpoint_id: str) -> bool:
-        """Return whether fewer than half of the asked members reach an endpoint."""
+        """Return whether fewer than half of the members reach an endpoint.
+
+        Too few answers tell more about this proxy's own links than about the endpoint.
+        """
+        asked = self._probing_members()
         answers: dict[str, bool] = {self.context.lock.holder: False}
 
         async def ask(member: MemberRecord) -> None:
@@ -188,16 +193,18 @@
                 )
 
         async with anyio.create_task_group() as tasks:
-            for member in self._probing_members():
+            for member in asked:
                 tasks.start_soon(ask, member)
         reached = sum(answers.values())
         log.info(
             "primary suspected",
             endpoint=endpoint_id,
             reached=reached,
-            asked=len(answers),
+            answered=len(answers),
+            asked=len(asked) + 1,
         )
-        return reached * 2 < len(answers)
+        enough = len(answers) - 1 >= len(asked) * MIN_ANSWERED_SHARE
+        return enough and reached * 2 < len(answers)
 
     def _probing_members(self) -> list[MemberRecord]:
         """Return the members to ask for a probe, spread over the failure domains."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
@@ -1,5 +1,6 @@
 import pytest
 
+from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.gateway.tests.fakes import (
     FAR,
     GROUP,
@@ -10,7 +11,11 @@
 from rosemaryward.decisions.leadership import supervisor as supervisor_module
 from rosemaryward.decisions.leadership.members import MemberRecord
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
-from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, status
+from rosemaryward.decisions.leadership.tests.fakes import (
+    ChangeScenario,
+    member,
+    status,
+)
 from rosemaryward.decisions.types import Place
 
 HEALTHY = {
@@ -27,12 +32,15 @@
         monkeypatch.setattr(supervisor_module, "ASK_MEMBERS_DELAY_S", 0.0)
         self.scenario = ChangeScenario(dict(statuses))
         self.reasons = []
+        self.unreachable = set()
         self.clock = FakeClock()
         self.scenario.leadership.clock = self.clock
-        for member in self.scenario.members.members:
-            self.scenario.members.mark_alive(member)
+        for name in self.scenario.members.members:
+            self.scenario.members.mark_alive(name)
 
         async def reaches_endpoint(member, request):
+            if member.name in self.unreachable:
+                raise PeerError(f"{member.name} is unreachable")
             return member.name in reaches
 
         self.scenario.peers.probe_endpoint = reaches_endpoint
@@ -78,6 +86,25 @@
     assert await run.check_after(1.0) == reasons
 
 
+@pytest.mark.parametrize(
+    ("unreachable", "reasons"),
+    [
+        pytest.param(("proxy-2", "proxy-3", "proxy-4", "proxy-5"), [], id="all"),
+        pytest.param(("proxy-2", "proxy-3"), ["primary silent"], id="half"),
+    ],
+)
+async def test_holder_that_reaches_no_member_changes_no_primary(
+    monkeypatch, unreachable, reasons
+):
+    """Guards against changes of healthy primaries by a holder that is cut off."""
+    run = Supervised(monkeypatch, {"i-2": HEALTHY["i-2"], "i-3": HEALTHY["i-3"]})
+    for number in (3, 4, 5):
+        run.scenario.members.observe(member(f"proxy-{number}"), number)
+        run.scenario.members.mark_alive(f"proxy-{number}")
+    run.unreachable = set(unreachable)
+    assert await run.check_after(0.2, 1.0) == reasons
+
+
 @pytest.mark.parametrize(
     ("prepare", "reason"),
     [
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
@@ -138,6 +138,15 @@
         }
         self.avoid_until[member.incarnation] = until
 
+    def readmit(self, member: MemberRecord) -> None:
+        """End the avoidance of a member that was reached again."""
+        if self.avoid_until.pop(member.incarnation, None) is not None:
+            log.info("relay readmitted", relay=member.name)
+
+    def is_live(self, member: MemberRecord) -> bool:
+        """Return whether a process is still a live member."""
+        return member in self.members.live_members()
+
     def _ranked_members(self, endpoint: Endpoint) -> list[MemberRecord]:
         """Return the alive members in order of preference, from the cache if valid."""
         if self.ranked_version != self.members.version:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -1,7 +1,7 @@
 """Execution of other proxies' statements at a relay."""
 
 import contextlib
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import AbstractAsyncContextManager
 
 import anyio
@@ -42,6 +42,7 @@
 
 REPLY_MARGIN_S = 0.05  # lets a refusal arrive before the proxy times out
 ROLLBACK_TIMEOUT_S = 0.5
+MAX_LOAD_WAIT_S = 0.3  # longer than the fleet needs to load after a restart
 NO_TRANSACTION = Unanswered("the transaction has ended")
 
 log = structlog.get_logger(__name__)
@@ -60,6 +61,8 @@
         Returns the position samples of a group's primary.
     clock : callable, optional
         Returns the boot time in seconds.
+    wait_until_loaded : callable, optional
+        Waits until the registered endpoints are known after the start.
 
     Attributes
     ----------
@@ -77,7 +80,9 @@
         leadership: Leadership,
         samples: Callable[[str], PositionSamples],
         clock: Callable[[], float] = boot_time_s,
+        wait_until_loaded: Callable[[], Awaitable[object]] = anyio.lowlevel.checkpoint,
     ) -> None:
+        self.wait_until_loaded = wait_until_loaded
         self.directory = directory
         self.leadership = leadership
         self.samples = samples
@@ -113,11 +118,13 @@
         """
         return RelaySession(self, peer)
 
-    def find_pool(
+    async def find_pool(
         self, endpoint_id: str, admission: AdmissionParameters
     ) -> EndpointPool | Refused:
         """Return an endpoint's pool, or a refusal if it must not be used.
 
+        A process that has just started waits until it knows the endpoints.
+
         Parameters
         ----------
         endpoint_id : str
@@ -127,6 +134,9 @@
         """
         if self.leaving:
             return Refused(Failure.BUSY, "the relay is about to stop")
+        if endpoint_id not in self.directory.pools:
+            with anyio.move_on_after(min(admission.remaining_s, MAX_LOAD_WAIT_S)):
+                await self.wait_until_loaded()
         pool = self.directory.pools.get(endpoint_id)
         if pool is None:
             return Refused(
@@ -314,7 +324,7 @@
             self._abandon(lease)
 
     async def _run(self, request: RunRequest) -> RelayReply:
-        found = self.service.find_pool(request.endpoint, request.admission)
+        found = await self.service.find_pool(request.endpoint, request.admission)
         if isinstance(found, Refused):
             return found
         pool = found
@@ -331,7 +341,7 @@
             return Refused(error.failure, error.reason)
 
     async def _begin(self, request: BeginRequest) -> RelayReply:
-        found = self.service.find_pool(request.endpoint, request.admission)
+        found = await self.service.find_pool(request.endpoint, request.admission)
         if isinstance(found, Refused):
             return found
         pool = found
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -134,6 +134,37 @@
     assert not pool.suspect
 
 
+@pytest.mark.parametrize(
+    ("known", "failure"),
+    [
+        pytest.param(True, None, id="registered"),
+        pytest.param(False, Failure.WRONG_ENDPOINT, id="not-registered"),
+    ],
+)
+async def test_relay_that_starts_waits_until_it_knows_the_endpoints(known, failure):
+    """Guards against refusals by relays that restarted with the rest of the fleet."""
+    harness = RelayedGatewayHarness()
+    pools = harness.relay.directory.pools
+    pool = pools.pop("i-1")
+
+    async def load():
+        await anyio.sleep(0.05)
+        if known:
+            pools["i-1"] = pool
+
+    harness.service.wait_until_loaded = load
+    connection = await harness.pools.pool("i-1").connector.connect(pool.endpoint)
+    if failure is None:
+        answer = await connection.execute(
+            parse_statement("WRITE k v"), "", None, ADMISSION
+        )
+        assert answer.failure is None
+        return
+    with pytest.raises(ConnectError) as refused:
+        await connection.execute(parse_statement("WRITE k v"), "", None, ADMISSION)
+    assert refused.value.failure is failure
+
+
 async def test_unreachable_relay_is_avoided():
     """Guards against refusing statements while the endpoint itself is reachable."""
     harness = RelayedGatewayHarness()
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 import msgspec
@@ -37,6 +38,7 @@
 PING_AFTER_S = 0.1
 PING_INTERVAL_S = 0.1
 SILENCE_TIMEOUT_S = 0.3  # several scheduling periods under a CPU quota
+PROBE_INTERVAL_S = 1.0  # shorter than the selector avoids a relay after one failure
 UNSOLICITED_REQUEST_ID = 0
 
 log = structlog.get_logger(__name__)
@@ -122,6 +124,19 @@
                 tasks.cancel_scope.cancel()
 
 
+class RelayAvoidance(Protocol):
+    """Record of the relays that are not used for a while."""
+
+    def avoid(self, member: MemberRecord, reason: str, leaving: bool = False) -> None:
+        """Exclude a member from relaying for a limited time."""
+
+    def readmit(self, member: MemberRecord) -> None:
+        """End the exclusion of a member that was reached again."""
+
+    def is_live(self, member: MemberRecord) -> bool:
+        """Return whether a process is still a live member."""
+
+
 class RelayClient:
     """Connections to relays, opened on demand; implements `RelayLinkProvider`.
 
@@ -129,16 +144,22 @@
     ----------
     name : str
         Name of this proxy.
-    on_lost : callable
-        Called when a relay is lost or leaving, with its member record, the reason
-        and whether it is leaving.
+    selector : RelayAvoidance
+        Avoids relays that are lost, leaving or unreachable.
+
+    Attributes
+    ----------
+    connections : dict of str to _RelayConnection
+        Newest connection to each relay, by incarnation.
+    probing : set of str
+        Incarnations of lost relays to which a task tries to connect again, so that
+        no statement waits for an attempt that fails.
     """
 
-    def __init__(
-        self, name: str, on_lost: Callable[[MemberRecord, str, bool], None]
-    ) -> None:
+    def __init__(self, name: str, selector: RelayAvoidance) -> None:
         self.name = name
-        self.on_lost = on_lost
+        self.selector = selector
+        self.probing: set[str] = set()
         self.connections: dict[str, _RelayConnection] = {}
         self.connecting: dict[str, anyio.Lock] = {}
         self.task_group: TaskGroup | None = None
@@ -156,9 +177,42 @@
         async with self.connecting.setdefault(member.incarnation, anyio.Lock()):
             connection = self.connections.get(member.incarnation)
             if connection is None or connection.transport.broken:
-                connection = await self._connect(member)
+                try:
+                    connection = await self._connect(member)
+                except PeerError:
+                    self._start_probing(member)
+                    raise
         return connection
 
+    def _handle_loss(self, member: MemberRecord, reason: str, leaving: bool) -> None:
+        """Avoid a relay, and reach it again in the background unless it leaves."""
+        self.selector.avoid(member, reason, leaving)
+        if not leaving:
+            self._start_probing(member)
+
+    def _start_probing(self, member: MemberRecord) -> None:
+        if self.task_group is None or member.incarnation in self.probing:
+            return
+        self.probing.add(member.incarnation)
+        self.task_group.start_soon(self._probe, member)
+
+    async def _probe(self, member: MemberRecord) -> None:
+        """Connect to a lost relay until it is reached or no longer live."""
+        try:
+            while True:
+                await anyio.sleep(PROBE_INTERVAL_S)
+                if not self.selector.is_live(member):
+                    return
+                try:
+                    await self._connect(member)
+                except PeerError as error:
+                    self.selector.avoid(member, str(error))
+                else:
+                    self.selector.readmit(member)
+                    return
+        finally:
+            self.probing.discard(member.incarnation)
+
     async def _connect(self, member: MemberRecord) -> _RelayConnection:
         if self.task_group is None:
             raise PeerError(f"{member.name}: the relay client is not running")
@@ -169,7 +223,7 @@
                 await stream.send(f"{self.name}\n".encode())
         except (TimeoutError, OSError, anyio.BrokenResourceError) as error:
             raise PeerError(f"{member.name}: {error!r}") from error
-        connection = _RelayConnection(stream, member, self.on_lost)
+        connection = _RelayConnection(stream, member, self._handle_loss)
         for incarnation, other in list(self.connections.items()):
             if other.transport.broken:
                 del self.connections[incarnation]
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
@@ -13,6 +13,7 @@
 from rosemaryward.decisions.leadership.members import MemberRecord
 from rosemaryward.decisions.relays.messages import Answered, RunRequest, Unanswered
 from rosemaryward.decisions.relays.service import RelayService
+from rosemaryward.peers import relays
 from rosemaryward.peers.relays import SILENCE_TIMEOUT_S, RelayClient, RelayServer
 
 READ = Statement("r1", StatementKind.READ, "READ k")
@@ -44,12 +45,19 @@
         self.member = MemberRecord("proxy-2", "", "inc-2", address, FAR, 10.0)
         self.lost = []
         self.lost_event = anyio.Event()
-        self.client = RelayClient("proxy-1", self.record_lost)
+        self.client = RelayClient("proxy-1", self)
+        self.readmitted = anyio.Event()
 
-    def record_lost(self, member, reason, leaving):
+    def avoid(self, member, reason, leaving=False):
         self.lost.append((member, reason, leaving))
         self.lost_event.set()
 
+    def readmit(self, member):
+        self.readmitted.set()
+
+    def is_live(self, member):
+        return True
+
     async def start(self, tasks):
         """Start both sides and return the connection to the relay."""
         tasks.start_soon(self.server.run)
@@ -63,6 +71,24 @@
                     continue
 
 
+async def test_lost_relay_is_reached_again_in_the_background(monkeypatch):
+    """Guards against statements that wait for a relay which cannot be reached."""
+    monkeypatch.setattr(relays, "PROBE_INTERVAL_S", 0.05)
+    pair = Pair()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(pair.client.run)
+        await anyio.wait_all_tasks_blocked()
+        with pytest.raises(PeerError):
+            await pair.client.link(pair.member)
+        with anyio.fail_after(2):
+            await pair.lost_event.wait()  # a further attempt has failed
+            assert not pair.readmitted.is_set()
+            tasks.start_soon(pair.server.run)
+            await pair.readmitted.wait()
+        assert not (await pair.client.link(pair.member)).transport.broken
+        tasks.cancel_scope.cancel()
+
+
 async def test_many_statements_on_one_connection():
     """Guards against a reply assigned to another statement."""
     pair = Pair()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -16,6 +16,7 @@
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
 from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.gateway.execution import Executor
+from rosemaryward.decisions.gateway.prober import EndpointProber
 from rosemaryward.decisions.gateway.session import CallerSession
 from rosemaryward.decisions.gateway.targets import TargetSelector
 from rosemaryward.decisions.leadership.change import FailoverContext
@@ -126,10 +127,11 @@
             self.connector, connection_cap=self.relay_selector.connection_cap
         )
         self.group_control = LineGroupControl(self.directory)
+        self.endpoint_prober = EndpointProber(self.directory, self.group_control)
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = MemberClient()
         self.record_writer = GroupRecordWriter(self.store)
-        self.relay_client = RelayClient(settings.name, self.relay_selector.avoid)
+        self.relay_client = RelayClient(settings.name, self.relay_selector)
         self.statement_pools = StatementPools(
             self.directory,
             self.relay_selector,
@@ -144,7 +146,10 @@
             find_pool=self.statement_pools.pool,
         )
         self.relay_service = RelayService(
-            self.directory, self.leadership, self.target_selector.group_samples
+            self.directory,
+            self.leadership,
+            self.target_selector.group_samples,
+            wait_until_loaded=lambda: self.mirror.loaded.wait(),
         )
         self.relay_server = RelayServer(settings.relay_address, self.relay_service)
         self.executor = Executor(
@@ -274,6 +279,7 @@
                 self.liveness_delegate.run,
                 self.confirmation.run,
                 self.fence_reporter.run,
+                self.endpoint_prober.run,
                 self._clean_up,
                 self._supervise,
                 self._watch_settings,
