Let the members with the most capacity acquire the failover lock first

The lock went to a host with half a core, which then asked 195 members at each change of primary. Change: live members take turns of 0.7 s, ordered by capacity, eight at most; all others come after them. Only members whose turn comes within a second ask a previous holder to stop.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -20,6 +20,7 @@
 LEASE_MARGIN_S = 0.4  # the holder stops this long before its lease expires
 ACQUIRE_POLL_INTERVAL_S = 0.25
 NEW_PROCESS_WAIT_S = 10.0
+MAX_RELEASE_REQUEST_DELAY_S = 1.0  # others do not acquire the lock soon
 
 log = structlog.get_logger(__name__)
 
@@ -55,9 +56,8 @@
         Name of this proxy.
     incarnation : str
         Identifies this process among those of the same name.
-    acquire_delay_s : float
-        Seconds to wait before acquiring a free lock, so that another proxy may
-        acquire it first.
+    acquire_delay_s : callable
+        Returns the seconds to leave a free lock to other proxies.
     first_start : bool
         Whether the whole fleet starts for the first time.
     request_release : callable
@@ -101,7 +101,7 @@
         key: str,
         name: str,
         incarnation: str,
-        acquire_delay_s: float,
+        acquire_delay_s: Callable[[], float],
         first_start: bool,
         request_release: Callable[[str, int], Awaitable[bool]],
         clock: Callable[[], float] = boot_time_s,
@@ -208,6 +208,8 @@
         """Ask the last holder to stop, so that its lease need not be waited out."""
         if self.record is not None or self.last_holder_released or not self.last_holder:
             return
+        if self.acquire_delay_s() > MAX_RELEASE_REQUEST_DELAY_S:
+            return
         token = self.last_holder_token
         released = await self.request_release(self.last_holder, token)
         if token == self.last_holder_token:
@@ -237,8 +239,8 @@
         if record is None:
             # The store may have revoked the key while its holder still acts.
             holder_wait_s = 0.0 if self.last_holder_released else LEASE_TTL_S
-            return waited_s >= holder_wait_s + self.acquire_delay_s
-        return not record.holder and waited_s >= self.acquire_delay_s
+            return waited_s >= holder_wait_s + self.acquire_delay_s()
+        return not record.holder and waited_s >= self.acquire_delay_s()
 
     async def _renew(self) -> None:
         """Renew the lease; the lock is lost if the lease has expired."""
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/lock_turns.py
@@ -0,0 +1,32 @@
+"""Order in which the members of the fleet try to acquire the failover lock.
+
+Each attempt costs calls to the store, and a change of primary costs its holder a
+request to every member. The members with the most capacity therefore come first.
+"""
+
+from rosemaryward.decisions.hashing import stable_hash
+from rosemaryward.decisions.leadership.members import MemberDirectory
+
+__all__ = ["acquire_delay_s"]
+
+TURN_S = 0.7  # until a large fleet has seen the record of a new holder
+MAX_TURNS = 8
+
+
+def acquire_delay_s(members: MemberDirectory, name: str) -> float:
+    """Return how long a member leaves a free lock to others, in seconds.
+
+    Parameters
+    ----------
+    members : MemberDirectory
+        Live members, among which the turns are given.
+    name : str
+        Name of the member.
+    """
+    live = sorted(
+        members.live_members(),
+        key=lambda member: (-member.capacity, stable_hash(member.name)),
+    )
+    names = [member.name for member in live[:MAX_TURNS]]
+    turn = names.index(name) if name in names else MAX_TURNS
+    return turn * TURN_S
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -17,7 +17,7 @@
         return releases
 
     return FailoverLock(
-        store, KEY, name, f"inc-{name}", 0.0, first_start, request_release, clock
+        store, KEY, name, f"inc-{name}", float, first_start, request_release, clock
     )
 
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -24,6 +24,7 @@
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock, LockRecord
 from rosemaryward.decisions.leadership.fence_reports import FenceReporter, FenceReports
 from rosemaryward.decisions.leadership.liveness import LivenessDelegate
+from rosemaryward.decisions.leadership.lock_turns import acquire_delay_s
 from rosemaryward.decisions.leadership.members import (
     MemberDirectory,
     MemberRecord,
@@ -78,7 +79,6 @@
 MIN_CONFIRMATION_LEFT_S = 2.0  # the load balancer acts only after two failed probes
 CLEANUP_INTERVAL_S = 0.25
 SETTINGS_POLL_INTERVAL_S = 1.0
-MAX_LOCK_DELAY_S = 0.3
 LOAD_BALANCER_REMOVAL_S = 2.2  # two failed probes, one per second
 EXIT_MARGIN_S = 0.7  # end of the grace period, kept for releasing the lock
 SHUTDOWN = "the proxy is shutting down"
@@ -160,7 +160,7 @@
             FAILOVER_LOCK_KEY,
             settings.name,
             self.incarnation,
-            secrets.randbelow(1000) * MAX_LOCK_DELAY_S / 1000,
+            lambda: acquire_delay_s(self.members, settings.name),
             settings.first_start,
             self._request_release,
         )
