Release the failover lock only after the changes under it have ended

Cause: a proxy that drains released the lock while its promotion call could still wait for an answer. The next holder acquires a released lock at once, so both could call for one group around the hand-over, the older token last. Ruled out by FleetLockMachine: two holders of the lock itself, with leases taken back, frozen hosts, restarts of the watch and releases. Change: the process stops acting, waits for its changes, then releases; a drain that ends first leaves the lock to its lease, as when the store does not answer.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,8 +1,7 @@
 """Change of a group's primary: announce, fence, promote, publish."""
 
-import contextlib
 import math
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 import anyio
@@ -221,18 +220,9 @@
             If the store does not answer.
         """
         self.old_primary_silent = old_primary_silent
-        with self._in_progress():
+        with self.context.confirmation.track_change():
             await self._run(reason)
 
-    @contextlib.contextmanager
-    def _in_progress(self) -> Iterator[None]:
-        """Count this change as in progress for as long as the context is open."""
-        self.context.confirmation.changes_in_progress += 1
-        try:
-            yield
-        finally:
-            self.context.confirmation.changes_in_progress -= 1
-
     async def _run(self, reason: str) -> None:
         started_at = self.clock()
         record = await self._announce(reason)
@@ -562,7 +552,7 @@
         StoreError
             If the store does not answer.
         """
-        with self._in_progress():
+        with self.context.confirmation.track_change():
             await self._restore_record()
 
     async def _restore_record(self) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -1,6 +1,7 @@
 """Confirmation of the primary records by the store or through other members."""
 
-from collections.abc import Callable, Iterable
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
 
 import anyio
 import structlog
@@ -70,6 +71,8 @@
     ----------
     changes_in_progress : int
         Number of changes of primary that this process is running.
+    change_ended : anyio.Event
+        Set, then replaced, whenever one of them ends.
     read_at : float
         Boot time at which the last read that confirmed the records was sent.
     members : list of MemberRecord
@@ -98,6 +101,7 @@
         self.peers = peers
         self.clock = clock
         self.changes_in_progress = 0
+        self.change_ended = anyio.Event()
         self.read_at = float("-inf")
         self.members: list[MemberRecord] = []
         self.revision = 0
@@ -163,6 +167,22 @@
             incarnation=self.incarnation,
         )
 
+    @contextlib.contextmanager
+    def track_change(self) -> Iterator[None]:
+        """Count a change of primary for as long as the context is open."""
+        self.changes_in_progress += 1
+        try:
+            yield
+        finally:
+            self.changes_in_progress -= 1
+            self.change_ended.set()
+            self.change_ended = anyio.Event()
+
+    async def wait_for_changes(self) -> None:
+        """Wait until this process runs no change of primary."""
+        while self.changes_in_progress:
+            await self.change_ended.wait()
+
     def _may_miss_change(self) -> bool:
         """Return whether a change may have begun since the last read of the store."""
         is_restored = generation_of(self.revision) < self.leadership.generation
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -8,6 +8,7 @@
 import anyio
 import msgspec
 import structlog
+from anyio.lowlevel import checkpoint
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import ConflictError, StoreError
@@ -93,6 +94,8 @@
         Boot time at which the last restore of the store was seen.
     leaving : bool
         Whether this process has released the lock and does not acquire it again.
+    wait_until_stopped : callable
+        Waits until nothing runs that this process has begun under the lock.
     """
 
     def __init__(
@@ -126,6 +129,7 @@
         self.renewed_at = float("-inf")
         self.restored_at = float("-inf")
         self.leaving = False
+        self.wait_until_stopped: Callable[[], Awaitable[object]] = checkpoint
 
     def mark_registered(self) -> None:
         """Record that other members can know of this process from now on."""
@@ -186,11 +190,15 @@
             await anyio.sleep(pause_s)
 
     async def release(self) -> None:
-        """Release the lock for good, so that another proxy can acquire it at once."""
+        """Release the lock for good, so that another proxy can acquire it at once.
+
+        Another proxy may act as soon as the lock is free, so this one stops before.
+        """
         self.leaving = True
         if not self.is_held():
             return
         self.token = 0
+        await self.wait_until_stopped()
         value = msgspec.json.encode(LockRecord("", self.incarnation))
         try:
             await self.store.write(self.key, value, self.revision)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -1,12 +1,18 @@
 import contextlib
 
+import anyio
 import msgspec
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from rosemaryward.decisions.gateway.tests.fakes import FakeClock
 from rosemaryward.decisions.leadership import failover_lock as lock_module
+from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock, LockRecord
-from rosemaryward.decisions.leadership.tests.fakes import MemoryStore
+from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.leadership.tests.fakes import MemoryStore, Peers
 from rosemaryward.decisions.mirror import make_revision
 
 KEY = "duty"
@@ -147,6 +153,77 @@
     assert not lock.is_held()
 
 
+async def test_lock_is_released_after_the_holder_has_stopped_acting():
+    """Guards against two proxies that promote around a planned stop of one."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock)
+    clock.now += 10.0
+    await step(lock)
+    confirmation = Confirmation("inc-proxy-1", Leadership(clock), Peers(), clock)
+    lock.wait_until_stopped = confirmation.wait_for_changes
+    async with anyio.create_task_group() as tasks:
+        with confirmation.track_change():  # waits for the answer to a promotion
+            tasks.start_soon(lock.release)
+            await anyio.sleep(0.1)
+            assert not lock.is_held()
+            held = msgspec.json.decode(store.values[KEY][0], type=LockRecord)
+            assert held.holder == "proxy-1"
+    released = msgspec.json.decode(store.values[KEY][0], type=LockRecord)
+    assert released.holder == ""
+
+
+class FleetLockMachine(RuleBasedStateMachine):
+    """Three proxies, a store that may take leases back, and hosts that freeze."""
+
+    NAMES = ("proxy-1", "proxy-2", "proxy-3")
+
+    def __init__(self):
+        super().__init__()
+        self.clock = FakeClock()
+        self.store = MemoryStore()
+        self.locks = {
+            name: make_lock(self.store, self.clock, name) for name in self.NAMES
+        }
+
+    @rule(name=st.sampled_from(NAMES))
+    def run_one_round(self, name):
+        with contextlib.suppress(lock_module.ConflictError):
+            anyio.run(step, self.locks[name])
+
+    @rule(name=st.sampled_from(NAMES))
+    def watch(self, name):
+        lock, stored = self.locks[name], self.store.values.get(KEY)
+        if stored is not None:
+            lock.observe(msgspec.json.decode(stored[0], type=LockRecord), stored[1])
+        elif lock.record is not None:
+            lock.observe_removal()
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 1.0, 2.5]))
+    def wait(self, seconds):
+        self.clock.now += seconds
+
+    @rule()
+    def store_takes_the_key_back(self):
+        if self.store.values.pop(KEY, None) is not None:
+            self.store.revision += 1
+            self.store.ended.update(lock.lease_id for lock in self.locks.values())
+
+    @rule(name=st.sampled_from(NAMES))
+    def release(self, name):
+        with contextlib.suppress(lock_module.ConflictError):
+            anyio.run(self.locks[name].release)
+
+    @invariant()
+    def at_most_one_proxy_holds_the_lock(self):
+        assert sum(lock.is_held() for lock in self.locks.values()) <= 1
+
+
+TestFleetLock = FleetLockMachine.TestCase
+TestFleetLock.settings = settings(
+    max_examples=40, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
 async def test_released_lock_is_not_acquired_again_by_the_same_process():
     """Guards against a process that takes the lock while it shuts down."""
     store, clock = MemoryStore(), FakeClock()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -173,6 +173,7 @@
             on_request=self._record_confirmation_request,
             reader_failures=self.reader_failures,
         )
+        self.failover_lock.wait_until_stopped = self.confirmation.wait_for_changes
         self.fence_reports = FenceReports(self.store, FENCE_PREFIX)
         self.fence_reporter = FenceReporter(
             settings.name,
