--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -13,7 +13,6 @@
     EndpointError,
     PeerError,
     RosemarywardError,
-    StoreError,
 )
 from rosemaryward.decisions.freshness import PositionSamples
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
@@ -24,8 +23,8 @@
     Promoter,
 )
 from rosemaryward.decisions.leadership.fence_reports import FenceReports
+from rosemaryward.decisions.leadership.fencing import MemberFence
 from rosemaryward.decisions.leadership.members import (
-    FenceReply,
     FenceRequest,
     MemberDirectory,
     MemberRecord,
@@ -48,8 +47,6 @@
 ]
 
 CONFIRMATION_MARGIN_S = 0.2  # clock drift between hosts during one confirmation
-FENCE_RETRY_S = 0.1
-REPORT_POLL_INTERVAL_S = 0.25
 POSITION_RETRY_S = 0.1
 CATCH_UP_TIMEOUT_S = 0.3  # for entries of a demoted primary that are in transit
 STATUS_POLL_INTERVAL_S = 0.03
@@ -181,8 +178,6 @@
         Store revision of the record that announced the change.
     old_primary_silent : bool
         Whether the old primary is assumed not to answer.
-    fence_confirmed : anyio.Event
-        Set, then replaced, whenever a member has answered the fence.
     """
 
     def __init__(
@@ -198,7 +193,6 @@
         self.all_members_fenced = False
         self.revision = 0
         self.old_primary_silent = False
-        self.fence_confirmed = anyio.Event()
 
     async def run(self, reason: str, old_primary_silent: bool = False) -> None:
         """Replace the primary and publish the new one.
@@ -269,94 +263,31 @@
 
     async def _fence_members(self, record: GroupRecord, announced_at: float) -> None:
         """Wait until no member can use the old primary any more."""
-        request = FenceRequest(self.group, record.epoch)
-        confirmations_expire_at = (
-            announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
-        )
-        fenced: set[str] = set()
         all_known = self.context.members.are_all_known()
         # A member that registers after this read has seen the announcement.
         await self.context.refresh_members()
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._request_fences, request, fenced)
-            tasks.start_soon(self._read_fence_reports, request, fenced)
-            while (
-                self.clock() < confirmations_expire_at
-                and self.context.lock.is_held()
-                and not self._are_all_fenced(fenced)
-            ):
-                with anyio.move_on_after(FENCE_RETRY_S):
-                    await self.fence_confirmed.wait()
-            tasks.cancel_scope.cancel()
-        self._check_lock()
-        if self._are_all_fenced(fenced):
-            self.all_members_fenced = all_known
-            return
-        log.warning(
-            "members not fenced",
-            group=self.group,
-            epoch=record.epoch,
-            members=[member.name for member in self._unfenced(fenced)],
-            waited_s=CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S,
+        fence = MemberFence(
+            FenceRequest(self.group, record.epoch),
+            self.context.members,
+            self.context.peers,
+            self.context.fence_reports,
+            self.context.lock.is_held,
+            self.clock,
         )
-
-    def _are_all_fenced(self, fenced: set[str]) -> bool:
-        """Return whether no member can use the old primary."""
-        return not self._unfenced(fenced) and self.context.members.are_all_known()
-
-    async def _request_fences(self, request: FenceRequest, fenced: set[str]) -> None:
-        """Ask the members that are not fenced yet, until cancelled."""
-        while True:
-            async with anyio.create_task_group() as tasks:
-                for member in self._unfenced(fenced):
-                    tasks.start_soon(self._fence_member, member, request, fenced)
-            await anyio.sleep(FENCE_RETRY_S)
-
-    async def _read_fence_reports(
-        self, request: FenceRequest, fenced: set[str]
-    ) -> None:
-        """Read the replies that reach this proxy through the store, until cancelled."""
-        while True:
-            await anyio.sleep(REPORT_POLL_INTERVAL_S)
-            try:
-                replies = await self.context.fence_reports.read(request)
-            except StoreError as error:
-                log.info("fence reports cannot be read", error=str(error))
-                continue
-            for reply in replies:
-                self._record_fence(reply, fenced)
-
-    def _record_fence(self, reply: FenceReply, fenced: set[str]) -> None:
-        """Add the process that answered a fence to `fenced`."""
-        fenced.add(reply.incarnation)
-        self.acknowledged = max(self.acknowledged, reply.acknowledged)
-        self.fence_confirmed.set()
-        self.fence_confirmed = anyio.Event()
-
-    def _unfenced(self, fenced: set[str]) -> list[MemberRecord]:
-        """Return the members to fence whose incarnation is not in `fenced`."""
-        return [
-            member
-            for member in self.context.members.members_to_fence()
-            if member.incarnation not in fenced
-        ]
-
-    async def _fence_member(
-        self, member: MemberRecord, request: FenceRequest, fenced: set[str]
-    ) -> None:
-        """Fence a member and add its incarnation to `fenced` if it answers."""
-        try:
-            reply = await self.context.peers.fence(member, request)
-        except PeerError as error:
-            log.info(
-                "fence request to a member failed",
-                member=member.name,
-                error=str(error),
+        all_answered = await fence.run(
+            announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
+        )
+        self._check_lock()
+        self.acknowledged = fence.acknowledged
+        self.all_members_fenced = all_known and all_answered
+        if not all_answered:
+            log.warning(
+                "members not fenced",
+                group=self.group,
+                epoch=record.epoch,
+                members=[member.name for member in fence.unfenced()],
+                waited_s=CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S,
             )
-            return
-        # A new process at the old address has none of its predecessor's confirmations.
-        fenced.add(member.incarnation)
-        self._record_fence(reply, fenced)
 
     async def _find_promoted(self, record: GroupRecord) -> str | None:
         """Return an endpoint that an interrupted change has already promoted."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -5,6 +5,7 @@
 
 from rosemaryward.decisions.gateway.tests.fakes import FAR, GROUP, make_endpoint
 from rosemaryward.decisions.leadership import change as change_module
+from rosemaryward.decisions.leadership import fencing
 from rosemaryward.decisions.leadership.change import ChangeAbandonedError
 from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, member, status
@@ -15,7 +16,7 @@
 def _short_intervals(monkeypatch):
     monkeypatch.setattr(change_module, "CONFIRMATION_VALIDITY_S", 0.3)
     monkeypatch.setattr(change_module, "CONFIRMATION_MARGIN_S", 0.0)
-    monkeypatch.setattr(change_module, "FENCE_RETRY_S", 0.02)
+    monkeypatch.setattr(fencing, "FENCE_RETRY_S", 0.02)
     monkeypatch.setattr(change_module, "POSITION_RETRY_S", 0.02)
     monkeypatch.setattr(change_module, "CATCH_UP_TIMEOUT_S", 0.05)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
@@ -4,7 +4,7 @@
 from rosemaryward.decisions.errors import StoreError
 from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
 from rosemaryward.decisions.leadership import change as change_module
-from rosemaryward.decisions.leadership import fence_reports
+from rosemaryward.decisions.leadership import fence_reports, fencing
 from rosemaryward.decisions.leadership.fence_reports import FenceReporter, FenceReports
 from rosemaryward.decisions.leadership.members import (
     FenceReply,
@@ -31,8 +31,8 @@
     monkeypatch.setattr(fence_reports, "DIRECT_REQUEST_WAIT_S", 0.02)
     monkeypatch.setattr(change_module, "CONFIRMATION_VALIDITY_S", 1.0)
     monkeypatch.setattr(change_module, "CONFIRMATION_MARGIN_S", 0.0)
-    monkeypatch.setattr(change_module, "FENCE_RETRY_S", 0.02)
-    monkeypatch.setattr(change_module, "REPORT_POLL_INTERVAL_S", 0.02)
+    monkeypatch.setattr(fencing, "FENCE_RETRY_S", 0.02)
+    monkeypatch.setattr(fencing, "REPORT_POLL_INTERVAL_S", 0.02)
     monkeypatch.setattr(change_module, "CATCH_UP_TIMEOUT_S", 0.05)
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_restored_members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_restored_members.py
@@ -3,6 +3,7 @@
 
 from rosemaryward.decisions.gateway.tests.fakes import FakeClock
 from rosemaryward.decisions.leadership import change as change_module
+from rosemaryward.decisions.leadership import fencing
 from rosemaryward.decisions.leadership import members as members_module
 from rosemaryward.decisions.leadership.members import MemberDirectory
 from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
@@ -62,7 +63,7 @@
     for module in (change_module, members_module):
         monkeypatch.setattr(module, "CONFIRMATION_VALIDITY_S", 0.25)
     monkeypatch.setattr(members_module, "CLOCK_DRIFT_MARGIN_S", 0.0)
-    monkeypatch.setattr(change_module, "FENCE_RETRY_S", 0.02)
+    monkeypatch.setattr(fencing, "FENCE_RETRY_S", 0.02)
     run = ChangeScenario({"i-2": status(1, 5), "i-3": status(1, 5)})
     if restored:
         run.members.observe_restore()
