Keep the values of failures in messages, and let new processes wait for the lock

Two faults of this series, found by reading it: - A failure added in the middle of the enumeration shifted the values of those behind it, which relays send; proxies of two builds would have read one failure as another. A refusal now has two more fields instead, which earlier builds ignore: the load of the endpoint and whether it answers. A relay that is about to stop no longer counts as an overloaded one. - While hosts restart one by one, the first turns at the failover lock could all belong to processes too new to acquire it, which would have left it free for up to 5.6 s. New processes now come last. Evidence: test_failures_keep_their_values_in_messages, test_members_that_have_just_restarted_come_last.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -14,7 +14,7 @@
     Answer,
     ConnectError,
     Failure,
-    RelayUnavailableError,
+    RelayRefusedError,
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.statements import (
@@ -32,7 +32,6 @@
 MAX_AVOIDANCE_S = 4.0
 UNREACHABLE_AVOIDANCE_S = 0.3  # the relay knows when the endpoint answers again
 RELAY_LOAD_MAX_AGE_S = 2.0
-REFUSED_LOAD = 2.0  # of an endpoint whose relay refuses statements
 UNANSWERED_FAILURE_AFTER_S = 0.3  # most statements finish sooner
 RELEASE_WAIT_LIMIT_S = 0.15  # while the endpoint accepts no more connections
 CONNECTION_LIMIT_PAUSE_S = 0.1  # between connection attempts at the limit
@@ -376,12 +375,12 @@
 
     def record_refusal(self, error: ConnectError) -> None:
         """Record that the endpoint is unreachable or overloaded for its relay."""
-        if error.failure is Failure.UNREACHABLE:
+        if not isinstance(error, RelayRefusedError):
+            return
+        if not error.answers:
             self.avoid_until = self.clock() + UNREACHABLE_AVOIDANCE_S
-        elif error.failure is Failure.BUSY and not isinstance(
-            error, RelayUnavailableError
-        ):
-            self._record_load(REFUSED_LOAD)
+        elif error.load:
+            self._record_load(error.load)
 
     def _record_load(self, load: float) -> None:
         self.relay_load = load
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -13,6 +13,7 @@
     "ConnectError",
     "ConnectionState",
     "Failure",
+    "RelayRefusedError",
     "RelayUnavailableError",
     "Reply",
     "UnansweredError",
@@ -27,7 +28,6 @@
     NOT_PRIMARY = auto()
     WRONG_ENDPOINT = auto()
     CONNECTION_LIMIT = auto()
-    UNREACHABLE = auto()
     UNKNOWN_STATEMENT = auto()
     ROLLED_BACK = auto()
     FAILED = auto()
@@ -45,7 +45,6 @@
         Failure.NOT_PRIMARY,
         Failure.WRONG_ENDPOINT,
         Failure.CONNECTION_LIMIT,
-        Failure.UNREACHABLE,
         Failure.UNKNOWN_STATEMENT,
     }
 )
@@ -142,3 +141,26 @@
 
 class RelayUnavailableError(ConnectError):
     """The relay cannot be reached; the endpoint itself may be available."""
+
+
+class RelayRefusedError(ConnectError):
+    """The relay refused the statement, which then did not run.
+
+    Parameters
+    ----------
+    failure : Failure
+        Kind of failure.
+    reason : str
+        Details of the failure.
+    load : float
+        Load of the endpoint's slots, 0 if it is not the reason.
+    answers : bool
+        Whether the endpoint answers the relay.
+    """
+
+    def __init__(
+        self, failure: Failure, reason: str, load: float = 0.0, answers: bool = True
+    ) -> None:
+        super().__init__(failure, reason)
+        self.load = load
+        self.answers = answers
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -8,6 +8,7 @@
     ConnectError,
     ConnectionState,
     Failure,
+    RelayRefusedError,
     UnansweredError,
 )
 from rosemaryward.decisions.gateway.tests.fakes import (
@@ -102,8 +103,8 @@
     harness = GatewayHarness(BOUNDED)
     pool = harness.pool(harness.near)
     pool.relayed = True
-    pool.record_refusal(ConnectError(Failure.BUSY, "overloaded"))
-    assert pool.load > 1.0
+    pool.record_refusal(RelayRefusedError(Failure.BUSY, "overloaded", 1.5))
+    assert pool.load == 1.5
     harness.clock.now += RELAY_LOAD_MAX_AGE_S
     assert pool.load == 0.0
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -250,6 +250,8 @@
         Names of the live members, whose liveness key is in the store.
     absent_since : dict of str to float
         Boot time at which a registered member was first seen without its key.
+    observed_at : dict of str to float
+        Boot time at which the present process of each member was first seen.
     version : int
         Incremented whenever the live members may have changed.
     restored_at : float
@@ -271,6 +273,7 @@
         self.revisions: dict[str, int] = {}
         self.alive: set[str] = set()
         self.absent_since: dict[str, float] = {}
+        self.observed_at: dict[str, float] = {}
         self.version = 0
         self.restored_at = float("-inf")
         self.known_before_restore: list[MemberRecord] = []
@@ -303,6 +306,8 @@
         known = self.members.get(member.name)
         if known is not None and known.incarnation != member.incarnation:
             self.last_left_at = self.clock()
+        if known is None or known.incarnation != member.incarnation:
+            self.observed_at[member.name] = self.clock()
         self.members[member.name] = member
         self.revisions[member.name] = revision
         self.version += 1
@@ -318,6 +323,7 @@
         self.version += 1
         self.revisions.pop(name, None)
         self.absent_since.pop(name, None)
+        self.observed_at.pop(name, None)
 
     def mark_alive(self, name: str) -> None:
         """Record that the liveness key of a member is in the store."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_lock_turns.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_lock_turns.py
@@ -1,6 +1,8 @@
 import msgspec
 import pytest
 
+from rosemaryward.decisions.gateway.tests.fakes import FakeClock
+from rosemaryward.decisions.leadership.failover_lock import NEW_PROCESS_WAIT_S
 from rosemaryward.decisions.leadership.lock_turns import (
     MAX_TURNS,
     TURN_S,
@@ -12,8 +14,8 @@
 FLEET = 200
 
 
-def make_fleet(large=()):
-    members = MemberDirectory()
+def make_fleet(large=(), clock=None):
+    members = MemberDirectory(clock or FakeClock())
     for number in range(FLEET):
         name = f"proxy-{number}"
         capacity = 100.0 if number in large else 10.0
@@ -37,6 +39,17 @@
     assert {n for _, n in delays[:2]} == {7, 90}
 
 
+def test_members_that_have_just_restarted_come_last():
+    """Guards against a lock without a holder while hosts restart one by one."""
+    clock = FakeClock()
+    members = make_fleet(large=(7, 90), clock=clock)
+    clock.now += 2 * NEW_PROCESS_WAIT_S
+    restarted = msgspec.structs.replace(members.members["proxy-7"], incarnation="new")
+    members.observe(restarted, 2)
+    assert acquire_delay_s(members, "proxy-90") == 0.0
+    assert acquire_delay_s(members, "proxy-7") == MAX_TURNS * TURN_S
+
+
 @pytest.mark.parametrize("name", ["proxy-7", "unknown"])
 def test_member_that_is_not_live_comes_last(name):
     """Guards against a lock that nobody acquires while its first member is gone."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -11,9 +11,9 @@
 from rosemaryward.decisions.gateway.environment import Endpoint
 from rosemaryward.decisions.gateway.outcomes import (
     Answer,
-    ConnectError,
     ConnectionState,
     Failure,
+    RelayRefusedError,
     RelayUnavailableError,
     UnansweredError,
 )
@@ -210,8 +210,11 @@
                 self.lease = 0
             return reply.answer
         if isinstance(reply, Refused):
-            raise ConnectError(
-                reply.failure, f"at relay {self.link.name}: {reply.reason}"
+            raise RelayRefusedError(
+                reply.failure,
+                f"at relay {self.link.name}: {reply.reason}",
+                reply.load,
+                reply.answers,
             )
         self.lease = 0
         reason = getattr(reply, "reason", type(reply).__name__)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/messages.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/messages.py
@@ -158,10 +158,16 @@
         Kind of failure.
     reason : str
         Details of the failure.
+    load : float
+        Load of the endpoint's slots, 0 if it is not the reason.
+    answers : bool
+        Whether the endpoint answers the relay.
     """
 
     failure: Failure
     reason: str
+    load: float = 0.0
+    answers: bool = True
 
 
 class Unanswered(msgspec.Struct, frozen=True, array_like=True, tag="unanswered"):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -42,6 +42,7 @@
 
 REPLY_MARGIN_S = 0.05  # lets a refusal arrive before the proxy times out
 ROLLBACK_TIMEOUT_S = 0.5
+FULL_LOAD = 1.0  # of the slots of an endpoint that refuses statements, at least
 MAX_LOAD_WAIT_S = 0.3  # longer than the fleet needs to load after a restart
 NO_TRANSACTION = Unanswered("the transaction has ended")
 
@@ -144,7 +145,7 @@
             )
         if pool.suspect:
             return Refused(
-                Failure.UNREACHABLE, f"endpoint {endpoint_id} does not answer"
+                Failure.BUSY, f"endpoint {endpoint_id} does not answer", answers=False
             )
         return self.check_epoch(pool, admission) or pool
 
@@ -336,7 +337,8 @@
             ):
                 return await self._execute(pool, pooled, request, times)
         except OverloadError as error:
-            return Refused(Failure.BUSY, str(error))
+            load = max(pool.queue.mean_load(), FULL_LOAD)
+            return Refused(Failure.BUSY, str(error), load)
         except ConnectError as error:
             return Refused(error.failure, error.reason)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -134,6 +134,15 @@
     assert not pool.suspect
 
 
+def test_failures_keep_their_values_in_messages():
+    """Guards against proxies of two builds that read one failure as another."""
+    names = ["BUSY", "BEHIND", "NOT_PRIMARY", "WRONG_ENDPOINT", "CONNECTION_LIMIT"]
+    names += ["UNKNOWN_STATEMENT", "ROLLED_BACK", "FAILED", "TIMED_OUT", "IN_DOUBT"]
+    names += ["UNKNOWN_DATABASE", "MALFORMED", "TOO_LARGE"]
+    assert [failure.name for failure in Failure][: len(names)] == names
+    assert [failure.value for failure in Failure] == list(range(1, len(Failure) + 1))
+
+
 @pytest.mark.parametrize(
     ("known", "failure"),
     [
