Avoid a relay that does not know the endpoint

Change: a relay that refuses an endpoint it does not know is avoided like a lost one. Evidence: test_read_runs_elsewhere_if_the_relay_does_not_know_the_endpoint.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -49,9 +49,12 @@
     ----------
     name : str
         Name of the relay.
+    member : MemberRecord
+        Registration of the relay.
     """
 
     name: str
+    member: MemberRecord
 
     async def request(self, message: RelayRequest) -> RelayReply:
         """Return the reply; raises `OutcomeUnknownError` if the relay is lost."""
@@ -210,6 +213,9 @@
                 self.lease = 0
             return reply.answer
         if isinstance(reply, Refused):
+            if reply.failure is Failure.WRONG_ENDPOINT:
+                # A process that started while the store is away knows no endpoint.
+                self.connector.selector.avoid(self.link.member, reply.reason)
             raise RelayRefusedError(
                 reply.failure,
                 f"at relay {self.link.name}: {reply.reason}",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/fakes.py
@@ -36,6 +36,7 @@
     name = "proxy-2"
 
     def __init__(self, session):
+        self.member = relay_member(self.name)
         self.session = session
         self.lost = False
         self.lose_reply = False
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -172,6 +172,16 @@
     with pytest.raises(ConnectError) as refused:
         await connection.execute(parse_statement("WRITE k v"), "", None, ADMISSION)
     assert refused.value.failure is failure
+    assert harness.relay_selector.select_relay(pool.endpoint) is None
+
+
+async def test_read_runs_elsewhere_if_the_relay_does_not_know_the_endpoint():
+    """Guards against statements that return to a relay which cannot load the store."""
+    harness = RelayedGatewayHarness()
+    harness.relay.directory.pools.clear()
+    (reply,) = await harness.serve("READ k")
+    assert reply.failure is None
+    assert harness.primary.texts() == ["READ k"]
 
 
 async def test_unreachable_relay_is_avoided():
