Let only relays probe, and use no relay that is draining

Every proxy probed an avoided endpoint each 0.3 s; the connections kept instances that were only slow from answering, and the probes went on. A background connection readmitted relays that had announced their end and were draining; each of their refusals was retried there. A process that leaves stays avoided, and a relay that drains tells so to proxies that connect to it.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
@@ -10,6 +10,8 @@
 
 SEEDS = [
     pytest.param(3, id="short-seeded-run"),
+    # Relays that were draining were used again as soon as they could be reached.
+    pytest.param(926002, id="leaving-relays"),
 ]
 """A seed that has failed stays in the list, with a line on the cause."""
 
@@ -20,6 +22,8 @@
     pytest.param(18, id="signals-during-start"),
     # Sessions that began after the drain had closed the others were cut at its end.
     pytest.param(280, id="late-sessions"),
+    # Probes of the whole fleet kept slow instances from answering.
+    pytest.param(926001, id="slow-instances"),
 ]
 """Seeds with planned work only."""
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_prober.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_prober.py
@@ -44,7 +44,18 @@
         pool.record_failure("silent")
     control = Control(harness, answering)
     with anyio.move_on_after(0.1):
-        await EndpointProber(harness.directory, control).run()
+        await EndpointProber(harness.directory, control, lambda endpoint: True).run()
     assert pool.suspect is suspect
     assert set(control.asked) == {"i-1"}
     assert len(control.asked) <= 5
+
+
+async def test_only_relays_probe(monkeypatch):
+    """Guards against a slow endpoint that gets probes of the whole fleet."""
+    monkeypatch.setattr(prober, "PROBE_INTERVAL_S", 0.01)
+    harness = GatewayHarness()
+    harness.pool(harness.primary).record_failure("slow")
+    control = Control(harness, [])
+    with anyio.move_on_after(0.1):
+        await EndpointProber(harness.directory, control, lambda endpoint: False).run()
+    assert control.asked == []
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
@@ -70,6 +70,8 @@
     avoid_until : dict of str to float
         Boot time until which a process is not used as a relay, in seconds, by
         incarnation.
+    leaving : set of str
+        Incarnations of the processes that have announced their end.
     ranked : dict of str to list of MemberRecord
         Members in order of preference, by endpoint id.
     ranked_version : int
@@ -88,6 +90,7 @@
         self.connection_limit = connection_limit
         self.clock = clock
         self.avoid_until: dict[str, float] = {}
+        self.leaving: set[str] = set()
         self.ranked: dict[str, list[MemberRecord]] = {}
         self.ranked_version = -1
 
@@ -117,6 +120,12 @@
                 return None if member.name == self.own_name else member
         return None
 
+    def is_relay(self, endpoint: Endpoint) -> bool:
+        """Return whether this proxy runs the statements of all others there."""
+        if not self.connections_are_scarce(endpoint.group):
+            return False
+        return self.select_relay(endpoint) is None
+
     def avoid(self, member: MemberRecord, reason: str, leaving: bool = False) -> None:
         """Exclude a member from relaying for a limited time.
 
@@ -130,16 +139,22 @@
             Whether its process is about to stop.
         """
         now = self.clock()
-        until = now + (LEAVING_AVOIDANCE_S if leaving else AVOIDANCE_S)
+        if leaving:
+            self.leaving.add(member.incarnation)
+        is_leaving = member.incarnation in self.leaving
+        until = now + (LEAVING_AVOIDANCE_S if is_leaving else AVOIDANCE_S)
         if self.avoid_until.get(member.incarnation, now) <= now:
             log.info("relay avoided", relay=member.name, reason=reason)
         self.avoid_until = {
             incarnation: at for incarnation, at in self.avoid_until.items() if at > now
         }
+        self.leaving &= self.avoid_until.keys() | {member.incarnation}
         self.avoid_until[member.incarnation] = until
 
     def readmit(self, member: MemberRecord) -> None:
-        """End the avoidance of a member that was reached again."""
+        """End the avoidance of a member that was reached again, unless it leaves."""
+        if member.incarnation in self.leaving:
+            return
         if self.avoid_until.pop(member.incarnation, None) is not None:
             log.info("relay readmitted", relay=member.name)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_selection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_selection.py
@@ -91,6 +91,17 @@
     assert selector.select_relay(ENDPOINT) == first
 
 
+def test_relay_that_leaves_is_not_readmitted():
+    """Guards against statements for a relay that is about to stop."""
+    selector, _, clock = make(relay_member("a", NEAR), relay_member("b", NEAR))
+    first = selector.select_relay(ENDPOINT)
+    selector.avoid(first, "leaving", leaving=True)
+    selector.avoid(first, "connection ended")
+    selector.readmit(first)
+    clock.now += 2 * AVOIDANCE_S
+    assert selector.select_relay(ENDPOINT) != first
+
+
 def test_all_relays_avoided():
     """Guards against refusing statements while direct connections are possible."""
     selector, _, _ = make(relay_member("a"))
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -264,9 +264,10 @@
         """Refuse new statements and notify the connected proxies."""
         self.service.leaving = True
         for send_queue in self.send_queues:
-            send_queue.put(
-                UNSOLICITED_REQUEST_ID, _encoder.encode(Leaving()), Rank.URGENT
-            )
+            self._announce_end(send_queue)
+
+    def _announce_end(self, send_queue: SendQueue) -> None:
+        send_queue.put(UNSOLICITED_REQUEST_ID, _encoder.encode(Leaving()), Rank.URGENT)
 
     async def _serve(self, stream: SocketStream) -> None:
         send_queue = SendQueue(stream, LinkPurpose.RESULT)
@@ -277,6 +278,8 @@
                 group.start_soon(send_queue.run)
                 name, data = await _receive_name(stream)
                 session = self.service.session(name)
+                if self.service.leaving:
+                    self._announce_end(send_queue)
                 await self._read(stream, data, session, send_queue)
         except* (
             anyio.EndOfStream,
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_relays.py
@@ -89,6 +89,18 @@
         tasks.cancel_scope.cancel()
 
 
+async def test_new_connection_to_a_leaving_relay_is_told_so():
+    """Guards against a proxy that connects to a relay while it drains."""
+    pair = Pair()
+    pair.server.leave()
+    async with anyio.create_task_group() as tasks:
+        await pair.start(tasks)
+        with anyio.fail_after(2):
+            await pair.lost_event.wait()
+        tasks.cancel_scope.cancel()
+    assert (pair.member, "leaving", True) in pair.lost
+
+
 async def test_many_statements_on_one_connection():
     """Guards against a reply assigned to another statement."""
     pair = Pair()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -127,7 +127,9 @@
             self.connector, connection_cap=self.relay_selector.connection_cap
         )
         self.group_control = LineGroupControl(self.directory)
-        self.endpoint_prober = EndpointProber(self.directory, self.group_control)
+        self.endpoint_prober = EndpointProber(
+            self.directory, self.group_control, self.relay_selector.is_relay
+        )
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = MemberClient()
         self.record_writer = GroupRecordWriter(self.store)
