--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -257,7 +257,7 @@
         Returns how many connections callers' statements may use for a given group,
         None for no cap.
     relayed : bool, optional
-        Whether the statements run at a relay, which also judges whether the endpoint
+        Whether the statements run at a relay, which also decides whether the endpoint
         answers.
 
     Attributes
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -43,7 +43,7 @@
 REPLY_MARGIN_S = 0.05  # lets a refusal arrive before the proxy times out
 ROLLBACK_TIMEOUT_S = 0.5
 FULL_LOAD = 1.0  # of the slots of an endpoint that refuses statements, at least
-MAX_LOAD_WAIT_S = 0.3  # longer than the fleet needs to load after a restart
+MAX_LOAD_WAIT_S = 0.3  # a relay that cannot load delays a statement no longer
 NO_TRANSACTION = Unanswered("the transaction has ended")
 
 log = structlog.get_logger(__name__)
