--- a/review/3/case.py
+++ b/review/3/case.py
@@ -120,7 +120,7 @@
         # Four of six proxies lose their path: share 0.65. The holder is among them.
         others = [p for p in fleet.proxies if p is not quiet]
         others.sort(key=lambda p: (p.name != fleet.holder(), p.zone == primary.zone))
-        cut, spared = others[:4], others[4:]
+        cut = others[:4]
         record.write(f"primary {primary.name}; holder {fleet.holder()}")
         record.write(f"quiet proxy {quiet.name}; cut {[p.name for p in cut]}")
         tasks = [asyncio.create_task(write(p, history, record)) for p in cut]
--- a/review/standins.py
+++ b/review/standins.py
@@ -693,8 +693,9 @@
         return False
 
     def kill(self):
-        with contextlib.suppress(ProcessLookupError):
-            self.process.send_signal(signal.SIGKILL)
+        if self.process is not None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGKILL)
 
 
 class Broken(Exception):
@@ -758,6 +759,14 @@
         self.tasks = []
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self):
         self.store = Store()
         await self.store.start()
         self.group = Group(self.store, self.record, list(self.ZONES))
@@ -775,7 +784,6 @@
             self.record.write(
                 f"instance {instance.name} in {instance.zone}: {instance.role}"
             )
-        return self
 
     async def wait_until_ready(self, limit_s=30.0):
         """Wait until all proxies are ready and the service has a record."""
@@ -815,9 +823,11 @@
 
     async def run():
         nonlocal status
+        end = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, end)
         try:
             status = await case
-        except Exception:
+        except (Exception, asyncio.CancelledError):
             traceback.print_exc()
         sys.stdout.flush()
         os._exit(status)  # open connections of the stand-ins end with the process
