--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,9 +13,9 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 ROUTES = {"booking": ("primary", 0)}
 CUT_AFTER_S = 6.0
-CUT_S = 7.0
+CUT_S = 5.0
 DARK_BEFORE_HEAL_S = 0.4
-AFTER_S = 6.0
+AFTER_S = 5.0
 
 
 class History:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 MAX_STALENESS_S = 1.5
 ROUTES = {"booking": ("primary", 0), "sheet": ("bounded_staleness", 1500)}
 CUT_AFTER_S = 8.0
-CUT_S = 7.0
+CUT_S = 5.0
 AFTER_S = 5.0
 STATEMENTS = 10  # reads of a transaction; with BEGIN and COMMIT 12 statements
 PAUSE_S = 0.9
