Promote no replica while unregistered endpoints may have more commits

Cause: a candidate was compared only with registered endpoints. A silent one whose registration had expired left the list, and the last replica counted as complete. What members remember of acknowledged commits ends with their processes.

Change: the store holds a replica set for each group, the endpoints that may hold acknowledged commits with their addresses. A commit is in the logs of the primary and of sync_replicas replicas, so a candidate lacks none if at most sync_replicas logs of the set are silent or ahead of it. Endpoints that start again at their address stand for their earlier log. One leaves the set when the primary and enough replicas have everything. A reply of a new process at a member's address counts as the end of the old process. The old primary is promoted again if no replica can be.

The MySQL side decides by a majority of the document's instances, a list that does not shrink, and is unchanged.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -294,8 +294,10 @@
     return Endpoint(**(values | changes))
 
 
-def make_record(epoch=1, primary="i-1", serving=True, holder="proxy-1"):
-    return GroupRecord(epoch=epoch, primary=primary, serving=serving, holder=holder)
+def make_record(epoch=1, primary="i-1", serving=True, holder="proxy-1", term=1):
+    return GroupRecord(
+        epoch=epoch, primary=primary, serving=serving, holder=holder, term=term
+    )
 
 
 def parse_statement(text, number=0):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -36,6 +36,11 @@
     GroupRecord,
     Leadership,
 )
+from rosemaryward.decisions.leadership.replica_sets import (
+    ReplicaSets,
+    count_uncertain,
+    merge_endpoints,
+)
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = [
@@ -133,6 +138,11 @@
         Returns the position samples of a group's primary.
     fence_reports : FenceReports
         Fence replies of members that this one does not reach.
+    replica_sets : ReplicaSets
+        Endpoints that may hold acknowledged commits, by group.
+    sync_replicas : callable
+        Returns how many replicas must receive a commit of a group before it is
+        acknowledged.
     """
 
     lock: LockState
@@ -147,15 +157,31 @@
     refresh_members: Callable[[], Awaitable[None]]
     group_samples: Callable[[str], PositionSamples]
     fence_reports: FenceReports
+    replica_sets: ReplicaSets
+    sync_replicas: Callable[[str], int]
+
+    def tolerated_logs(self, group: str) -> int:
+        """Return how many logs of a group may be lost without an acknowledged commit.
 
+        Without synchronous replicas, the loss of the primary's log is accepted.
+        """
+        return max(self.sync_replicas(group), 1)
 
-class _ReplicaStatuses(msgspec.Struct, frozen=True):
-    """Statuses of the replicas that answered, and ids of those that did not."""
+
+class _Statuses(msgspec.Struct, frozen=True):
+    """Statuses of the endpoints that answered, and ids of those that did not."""
 
     answered: dict[str, EndpointStatus]
     silent: list[str]
 
 
+class _Promoted(msgspec.Struct, frozen=True):
+    """Endpoint that leads a new term."""
+
+    endpoint_id: str
+    term: int
+
+
 class PrimaryChange:
     """One change of the primary of a group.
 
@@ -229,8 +255,10 @@
             "primary changed",
             group=self.group,
             old=record.primary,
-            new=primary,
+            new=primary.endpoint_id,
             epoch=record.epoch,
+            term=primary.term,
+            old_term=record.term,
             reason=reason,
             fence_s=round(fenced_at - started_at, 3),
             total_s=round(self.clock() - started_at, 3),
@@ -245,6 +273,7 @@
             primary=known.primary,
             serving=False,
             holder=self.context.lock.holder,
+            term=known.term,
         )
         self._check_lock()
         log.info(
@@ -289,18 +318,33 @@
                 waited_s=CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S,
             )
 
-    async def _find_promoted(self, record: GroupRecord) -> str | None:
-        """Return an endpoint that an interrupted change has already promoted."""
+    async def _find_promoted(self, record: GroupRecord) -> _Promoted | None:
+        """Return an endpoint that an interrupted change has already promoted.
+
+        It leads the newest term, which is later than that of the last primary that
+        served. A primary that was replaced earlier also reports itself as primary.
+        """
         statuses = await self._query_endpoints(
-            self._replica_ids(record), self.context.control.status
+            self._other_ids(record), self.context.control.status
         )
         for endpoint_id, status in statuses.answered.items():
-            if status.is_primary:
-                return endpoint_id
+            if not status.is_primary:
+                continue
+            is_promoted = True
+            log.info(
+                "primary found",
+                group=self.group,
+                endpoint=endpoint_id,
+                term=status.term,
+                last_term=record.term,
+                adopted=is_promoted,
+            )
+            if is_promoted:
+                return _Promoted(endpoint_id, status.term)
         return None
 
-    async def _promote_best(self, record: GroupRecord) -> str:
-        """Promote a replica that has all acknowledged writes and return its id.
+    async def _promote_best(self, record: GroupRecord) -> _Promoted:
+        """Promote an endpoint that has all acknowledged writes.
 
         Raises
         ------
@@ -310,10 +354,11 @@
         started_at = self.clock()
         while True:
             self._check_lock()
-            statuses = await self._stop_commits(record)
-            best = self._choose_candidate(statuses)
-            if best is not None and await self._promote(best):
-                return best
+            best = await self._find_candidate(record)
+            if best is not None:
+                term = await self._promote(best)
+                if term is not None:
+                    return _Promoted(best, term)
             if self.clock() - started_at > CONFIRMATION_VALIDITY_S:
                 raise ChangeAbandonedError(
                     f"{self.group}: expected a replica that is known to have every "
@@ -321,43 +366,70 @@
                 )
             await anyio.sleep(POSITION_RETRY_S)
 
-    async def _stop_commits(self, record: GroupRecord) -> _ReplicaStatuses:
+    async def _find_candidate(self, record: GroupRecord) -> str | None:
+        """Return the endpoint to promote, the old primary only if no other can be."""
+        statuses = await self._stop_commits(record)
+        best = self._choose_candidate(statuses, record)
+        if best is not None or not self._is_registered(record.primary):
+            return best
+        if record.primary not in statuses.answered:
+            old = await self._query_endpoints(
+                [record.primary], self.context.control.status
+            )
+            statuses = _Statuses(
+                statuses.answered | old.answered, statuses.silent + old.silent
+            )
+        if record.primary not in statuses.answered:
+            return None
+        return self._choose_candidate(statuses, record, old_primary=True)
+
+    async def _stop_commits(self, record: GroupRecord) -> _Statuses:
         """Ensure that the old primary confirms no more commits; read the statuses."""
-        replica_ids = self._replica_ids(record)
+        replica_ids = self._other_ids(record)
         statuses = await self._query_endpoints(replica_ids, self.context.control.status)
         newest = max(
             (self._newest_term(s) for s in statuses.answered.values()), default=0
         )
-        term = newest + 1
+        term = max(newest, record.term) + 1
         if self.old_primary_silent:
             # Without receiving replicas it cannot confirm commits, reachable or not.
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._demote, record.primary, term)
-                statuses = await self._hold_replicas(replica_ids, term)
-                tasks.cancel_scope.cancel()
-            return statuses
+            return await self._hold_replicas(statuses, record, term)
         demoted = await self._demote(record.primary, term)
         if demoted is None:
             self.old_primary_silent = True
-            return await self._hold_replicas(replica_ids, term)
+            return await self._hold_replicas(statuses, record, term)
         deadline = self.clock() + CATCH_UP_TIMEOUT_S
-        while self.clock() < deadline:
-            best = max((s.received for s in statuses.answered.values()), default=None)
-            if best is not None and best >= demoted.received:
-                break
-            await anyio.sleep(STATUS_POLL_INTERVAL_S)
+        while True:
+            # Entries that were confirmed before the demotion are in these statuses.
             statuses = await self._query_endpoints(
                 replica_ids, self.context.control.status
             )
+            best = max((s.received for s in statuses.answered.values()), default=None)
+            caught_up = best is not None and best >= demoted.received
+            if caught_up or self.clock() >= deadline:
+                break
+            await anyio.sleep(STATUS_POLL_INTERVAL_S)
+        statuses.answered[record.primary] = demoted
         return statuses
 
     async def _hold_replicas(
-        self, endpoint_ids: list[str], term: int
-    ) -> _ReplicaStatuses:
-        """Pause the replication of endpoints for a term."""
-        return await self._query_endpoints(
-            endpoint_ids, lambda e: self.context.control.hold(e, term)
-        )
+        self, statuses: _Statuses, record: GroupRecord, term: int
+    ) -> _Statuses:
+        """Pause the replication of all replicas for a term; read the statuses."""
+        control = self.context.control
+        terms = [status.term for status in statuses.answered.values()]
+        newest_term = max([record.term, *terms])
+
+        async def hold(endpoint_id: str) -> EndpointStatus:
+            known = statuses.answered.get(endpoint_id)
+            if known is not None and known.is_primary:
+                # One that was replaced earlier must not pass for the promoted one.
+                if known.term < newest_term:
+                    return await control.demote(endpoint_id, term)
+                return await control.status(endpoint_id)
+            return await control.hold(endpoint_id, term)
+
+        return await self._query_endpoints([*statuses.answered, *statuses.silent], hold)
 
     async def _demote(self, endpoint_id: str, term: int) -> EndpointStatus | None:
         """Demote the old primary; return its status, None if it does not answer."""
@@ -373,32 +445,52 @@
             )
             return None
 
-    def _choose_candidate(self, statuses: _ReplicaStatuses) -> str | None:
-        """Return the replica to promote, None if none surely has all commits."""
+    def _choose_candidate(
+        self, statuses: _Statuses, record: GroupRecord, old_primary: bool = False
+    ) -> str | None:
+        """Return the endpoint to promote, None if none surely has all commits.
+
+        Parameters
+        ----------
+        statuses : _Statuses
+            Statuses read after the old primary stopped confirming commits.
+        record : GroupRecord
+            Announced record.
+        old_primary : bool
+            Whether to choose the old primary instead of another endpoint.
+        """
         candidates = {
             endpoint_id: status
             for endpoint_id, status in statuses.answered.items()
-            if not self.context.directory.endpoints[endpoint_id].leaving
+            if (endpoint_id == record.primary) is old_primary
+            and not self._is_leaving(endpoint_id)
         }
         if not candidates:
             return None
-        newest = max(status.received for status in statuses.answered.values())
         best = max(candidates, key=lambda e: candidates[e].received)
         received = candidates[best].received
-        is_complete = received >= newest and not statuses.silent
+        positions = {e: s.received for e, s in statuses.answered.items()}
+        replica_set = self._replica_set()
+        uncertain = count_uncertain(received, replica_set, positions)
+        tolerated = self.context.tolerated_logs(self.group)
         acknowledged = self._newest_acknowledged()
         has_all_acknowledged = acknowledged is not None and received >= acknowledged
+        is_chosen = uncertain <= tolerated or has_all_acknowledged
         log.info(
             "candidate",
             group=self.group,
             endpoint=best,
             received=received.to_token(),
-            newest=newest.to_token(),
+            newest=max(positions.values()).to_token(),
             acknowledged="" if acknowledged is None else acknowledged.to_token(),
+            reported=self.acknowledged.to_token(),
             silent=statuses.silent,
-            chosen=is_complete or has_all_acknowledged,
+            replica_set=sorted(replica_set),
+            uncertain=uncertain,
+            tolerated=tolerated,
+            chosen=is_chosen,
         )
-        return best if is_complete or has_all_acknowledged else None
+        return best if is_chosen else None
 
     def _newest_acknowledged(self) -> LogPosition | None:
         """Return a position that includes all acknowledged writes, None if unknown.
@@ -414,8 +506,8 @@
         sampled = self.context.group_samples(self.group).required_position(ended_at)
         return None if sampled is None else max(self.acknowledged, sampled)
 
-    async def _promote(self, endpoint_id: str) -> bool:
-        """Promote an endpoint and wait; return whether it became the primary."""
+    async def _promote(self, endpoint_id: str) -> int | None:
+        """Promote an endpoint and wait; return its term, None if it did not lead."""
         deadline = self.clock() + PROMOTION_TIMEOUT_S
         accepted = False
         while self.clock() < deadline:
@@ -436,9 +528,10 @@
                         accepted=accepted,
                     )
                     if not accepted:
-                        return False
-                if (await self.context.control.status(endpoint_id)).is_primary:
-                    return True
+                        return None
+                status = await self.context.control.status(endpoint_id)
+                if status.is_primary:
+                    return status.term
                 await anyio.sleep(STATUS_POLL_INTERVAL_S)
             except RosemarywardError as error:
                 log.info(
@@ -447,18 +540,19 @@
                     error=str(error),
                 )
                 await anyio.sleep(PROMOTION_RETRY_S)
-        return False
+        return None
 
-    async def _publish(self, record: GroupRecord, primary: str) -> None:
+    async def _publish(self, record: GroupRecord, primary: _Promoted) -> None:
         """Write the record of the new primary and send it to the members."""
         self._check_lock()
         serving = GroupRecord(
             epoch=record.epoch,
-            primary=primary,
+            primary=primary.endpoint_id,
             serving=True,
             holder=self.context.lock.holder,
+            term=primary.term,
         )
-        others = [e for e in self._endpoint_ids() if e != primary]
+        others = [e for e in self._endpoint_ids() if e != primary.endpoint_id]
         revision = await self.context.writer.write(self.group, serving, self.revision)
         self.context.leadership.observe(self.group, serving, revision)
         notice = RecordNotice(self.group, serving, revision)
@@ -497,7 +591,10 @@
             return
         self.revision = leadership.revisions[self.group]
         epoch = leadership.next_epoch(self.group)
-        await self._publish(msgspec.structs.replace(known, epoch=epoch), known.primary)
+        await self._publish(
+            msgspec.structs.replace(known, epoch=epoch),
+            _Promoted(known.primary, known.term),
+        )
         log.info(
             "primary record restored",
             group=self.group,
@@ -546,12 +643,26 @@
     def _endpoint_ids(self) -> list[str]:
         return [endpoint.id for endpoint in self.context.directory.in_group(self.group)]
 
-    def _replica_ids(self, record: GroupRecord) -> list[str]:
+    def _other_ids(self, record: GroupRecord) -> list[str]:
         return [e for e in self._endpoint_ids() if e != record.primary]
 
+    def _is_registered(self, endpoint_id: str) -> bool:
+        return endpoint_id in self.context.directory.endpoints
+
+    def _is_leaving(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint leaves, or has left during the change."""
+        endpoint = self.context.directory.endpoints.get(endpoint_id)
+        return endpoint is None or endpoint.leaving
+
+    def _replica_set(self) -> dict[str, str]:
+        """Return the endpoints that may hold acknowledged commits, with addresses."""
+        recorded = self.context.replica_sets.endpoints(self.group)
+        registered = self.context.directory.in_group(self.group)
+        return merge_endpoints(recorded, registered)
+
     async def _query_endpoints(  # type: ignore[no-untyped-def]
         self, endpoint_ids: list[str], query
-    ) -> _ReplicaStatuses:
+    ) -> _Statuses:
         """Send a query to endpoints in parallel; silent ones are listed as such."""
         answered: dict[str, EndpointStatus] = {}
         silent: list[str] = []
@@ -570,7 +681,7 @@
         async with anyio.create_task_group() as tasks:
             for endpoint_id in endpoint_ids:
                 tasks.start_soon(query_endpoint, endpoint_id)
-        return _ReplicaStatuses(answered, silent)
+        return _Statuses(answered, silent)
 
     def _newest_term(self, status: EndpointStatus) -> int:
         """Return the newest term that an endpoint reports."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
@@ -125,7 +125,10 @@
                 error=str(error),
             )
             return
-        # A new process at the old address has none of its predecessor's confirmations.
+        # A new process at the old address has none of its predecessor's confirmations,
+        # and does not know what its predecessor has seen acknowledged.
+        if reply.incarnation != member.incarnation:
+            self.members.observe_end()
         self.fenced.add(member.incarnation)
         self._record(reply)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -325,6 +325,10 @@
         self.absent_since.pop(name, None)
         self.observed_at.pop(name, None)
 
+    def observe_end(self) -> None:
+        """Record that a process has ended that is still registered."""
+        self.last_left_at = self.clock()
+
     def mark_alive(self, name: str) -> None:
         """Record that the liveness key of a member is in the store."""
         if name not in self.alive:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -39,12 +39,16 @@
         False while the primary is being changed.
     holder : str
         Name of the proxy that wrote the record.
+    term : int
+        Term of the last primary that served, 0 if unknown. An endpoint that leads a
+        later term was promoted after it.
     """
 
     epoch: int
     primary: str
     serving: bool
     holder: str
+    term: int = 0
 
 
 class Leadership:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -12,6 +12,7 @@
 from rosemaryward.decisions.leadership.change import FailoverContext, PrimaryChange
 from rosemaryward.decisions.leadership.members import MemberRecord, ReachabilityRequest
 from rosemaryward.decisions.leadership.records import GroupRecord
+from rosemaryward.decisions.leadership.replica_set_upkeep import ReplicaSetUpkeep
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["PrimarySupervisor"]
@@ -57,6 +58,8 @@
         Newest log position that a replica had received at that time.
     stall_checked_at : float
         Boot time of the last comparison of log positions.
+    replica_set : ReplicaSetUpkeep
+        Keeps the group's replica set up to date.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.stalled_since: float | None = None
         self.stalled_position = LogPosition()
         self.stall_checked_at = 0.0
+        self.replica_set = ReplicaSetUpkeep(group, context, clock)
 
     async def run(self) -> None:
         """Check the primary at a fixed interval while the failover lock is held."""
@@ -102,6 +106,8 @@
         if reason and self.context.lock.is_held():
             change = PrimaryChange(self.group, self.context, self.clock)
             await change.run(reason, reason == PRIMARY_SILENT)
+        else:
+            await self.replica_set.update(record.primary)
 
     def _track_primary(self) -> None:
         """Update the time at which the current epoch was first seen."""
@@ -118,11 +124,16 @@
         ]
         if len(claimants) != 1:
             return
+        status = await self.context.control.status(claimants[0].id)
+        if not status.is_primary:
+            return
+        await self.replica_set.add_registered()
         record = GroupRecord(
             epoch=self.context.leadership.next_epoch(self.group),
             primary=claimants[0].id,
             serving=True,
             holder=self.context.lock.holder,
+            term=status.term,
         )
         revision = await self.context.writer.write(self.group, record, 0)
         self.context.leadership.observe(self.group, record, revision)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import ConflictError, EndpointError, PeerError
 from rosemaryward.decisions.freshness import PositionSamples
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
@@ -23,6 +24,8 @@
     MemberRecord,
 )
 from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.leadership.replica_set_upkeep import ReplicaSetUpkeep
+from rosemaryward.decisions.leadership.replica_sets import ReplicaSets
 from rosemaryward.decisions.mirror import LeaseLostError, Listing, StoredValue
 from rosemaryward.decisions.types import LogPosition
 
@@ -129,6 +132,7 @@
 
     def __init__(self):
         self.fenced = {}
+        self.incarnations = {}  # of processes that are not registered yet
         self.confirmations = {}
         self.sent_records = []
 
@@ -140,7 +144,8 @@
         await anyio.lowlevel.checkpoint()
         if member.name not in self.fenced:
             raise PeerError(f"{member.name} is unreachable")
-        return FenceReply(member.incarnation, self.fenced[member.name])
+        incarnation = self.incarnations.get(member.name, member.incarnation)
+        return FenceReply(incarnation, self.fenced[member.name])
 
     async def request_confirmation(self, member, request):
         await anyio.lowlevel.checkpoint()
@@ -164,6 +169,20 @@
         return self.revision
 
 
+class ReplicaSetWriter:
+    """Conditional writes of the replica set of one group."""
+
+    def __init__(self):
+        self.revision = 0
+
+    async def write(self, group, record, expected):
+        await anyio.lowlevel.checkpoint()
+        if expected != self.revision:
+            raise ConflictError(f"{expected} is not {self.revision}")
+        self.revision += 1
+        return self.revision
+
+
 def status(term, index, is_primary=False):
     return EndpointStatus(
         is_primary=is_primary,
@@ -200,6 +219,8 @@
         self.samples = PositionSamples()
         self.writer = Writer()
         self.store = MemoryStore()
+        self.replica_set_writer = ReplicaSetWriter()
+        self.replica_sets = ReplicaSets(self.replica_set_writer)
         self.lock = Lock()
         self.confirmation = Confirmation(
             "inc-proxy-1", self.leadership, self.peers, directory=self.members
@@ -219,11 +240,16 @@
             refresh_members=self._refresh,
             group_samples=lambda group: self.samples,
             fence_reports=FenceReports(self.store, "fences/"),
+            replica_sets=self.replica_sets,
+            sync_replicas=lambda group: 1,
         )
 
-    async def run(self, reason="test"):
+    def upkeep(self, clock=boot_time_s):
+        return ReplicaSetUpkeep(GROUP, self.context(), clock)
+
+    async def run(self, reason="test", old_primary_silent=False):
         change = PrimaryChange(GROUP, self.context())
-        await change.run(reason)
+        await change.run(reason, old_primary_silent)
         return change
 
     async def _refresh(self):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -3,11 +3,16 @@
 import anyio
 import pytest
 
-from rosemaryward.decisions.gateway.tests.fakes import FAR, GROUP, make_endpoint
+from rosemaryward.decisions.gateway.tests.fakes import (
+    FAR,
+    GROUP,
+    make_endpoint,
+)
 from rosemaryward.decisions.leadership import change as change_module
 from rosemaryward.decisions.leadership import fencing
 from rosemaryward.decisions.leadership.change import ChangeAbandonedError
 from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
+from rosemaryward.decisions.leadership.replica_sets import ReplicaSets
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, member, status
 from rosemaryward.decisions.types import LogPosition
 
@@ -106,6 +111,58 @@
     assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
 
 
+@pytest.mark.parametrize(
+    ("statuses", "returned", "promoted"),
+    [
+        pytest.param({"i-2": status(1, 4)}, [], [], id="others-gone"),
+        pytest.param(
+            {"i-2": status(1, 4), "i-9": status(1, 6)}, ["i-3"], ["i-9"], id="one-back"
+        ),
+        pytest.param(
+            {"i-2": status(1, 4), "i-9": status(1, 4)}, ["i-1"], ["i-2"], id="old-back"
+        ),
+    ],
+)
+@pytest.mark.parametrize("known_from", ["store", "this-process"])
+async def test_replica_is_not_promoted_while_others_may_have_more_commits(
+    statuses, returned, promoted, known_from
+):
+    """Guards against losing commits when crashed endpoints are no longer registered."""
+    run = ChangeScenario(dict(statuses))
+    run.members.last_left_at = run.members.clock()  # what others knew is forgotten
+    run.samples.record(run.members.clock(), LogPosition(2, 7))  # not acknowledged
+    await run.upkeep().add_registered()
+    if known_from == "store":
+        record, revision = run.replica_sets.records[GROUP], 1
+        run.replica_sets = ReplicaSets(run.replica_set_writer)
+        run.replica_sets.observe(GROUP, record, revision)
+    for endpoint_id in ("i-1", "i-3"):
+        address = run.directory.endpoints.pop(endpoint_id).address
+        if endpoint_id in returned:
+            run.directory.observe(make_endpoint("i-9", FAR, address=address))
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run()
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
+
+
+async def test_new_process_at_a_members_address_reports_the_end_of_the_old_one():
+    """Guards against trusting a reply that lacks what an ended process had seen."""
+    run = ChangeScenario({"i-2": status(1, 4)})
+    run.peers.fenced = {"proxy-1": LogPosition(1, 4), "proxy-2": LogPosition()}
+    run.peers.incarnations["proxy-2"] = "inc-new"  # its registration is not seen yet
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run()
+    assert run.promoter.calls == []
+
+
+async def test_old_primary_that_returns_is_the_last_choice():
+    """Guards against refusing for good when only the old primary has all commits."""
+    run = ChangeScenario({"i-1": status(1, 6, is_primary=True), "i-2": status(1, 4)})
+    run.peers.fenced["proxy-1"] = LogPosition(1, 6)
+    await run.run(old_primary_silent=True)
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == ["i-1"]
+
+
 async def test_leaving_replica_is_not_promoted():
     """Guards against a primary that is about to stop."""
     run = ChangeScenario({"i-2": status(1, 6), "i-3": status(1, 6)})
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -7,6 +7,7 @@
 
 from rosemaryward.decisions.errors import DocumentError
 from rosemaryward.decisions.leadership.records import GroupRecord
+from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord
 from rosemaryward.decisions.mirror import LeaseStore, StoredValue
 
 __all__ = [
@@ -16,14 +17,17 @@
     "FAILOVER_LOCK_KEY",
     "GROUP_PREFIX",
     "MEMBER_PREFIX",
+    "REPLICA_SET_PREFIX",
     "GroupRecordWriter",
     "RecordSubscriber",
+    "StoreReplicaSetWriter",
 ]
 
 FLEET_PREFIX = "rosemaryward/"  # read at a fixed interval, so it must stay small
 MEMBER_PREFIX = FLEET_PREFIX + "members/"
 LIVENESS_PREFIX = FLEET_PREFIX + "alive/"
 GROUP_PREFIX = FLEET_PREFIX + "groups/"
+REPLICA_SET_PREFIX = FLEET_PREFIX + "replica-sets/"
 FENCE_PREFIX = "rosemaryward-fences/"
 FAILOVER_LOCK_KEY = "rosemaryward-duty"
 
@@ -110,3 +114,43 @@
         """
         value = msgspec.json.encode(record)
         return await self.store.write(GROUP_PREFIX + group, value, expected)
+
+
+class StoreReplicaSetWriter:
+    """Writes replica sets to the store.
+
+    Parameters
+    ----------
+    store : LeaseStore
+        Client of the platform's store.
+    """
+
+    def __init__(self, store: LeaseStore) -> None:
+        self.store = store
+
+    async def write(self, group: str, record: ReplicaSetRecord, expected: int) -> int:
+        """Write a replica set if its key has the expected revision.
+
+        Parameters
+        ----------
+        group : str
+            Name of the replication group.
+        record : ReplicaSetRecord
+            New value.
+        expected : int
+            Revision that the key must have, 0 if it must not exist.
+
+        Returns
+        -------
+        int
+            New revision.
+
+        Raises
+        ------
+        ConflictError
+            If the key has another revision.
+        StoreError
+            If the store does not answer.
+        """
+        value = msgspec.json.encode(record)
+        return await self.store.write(REPLICA_SET_PREFIX + group, value, expected)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -32,6 +32,7 @@
 )
 from rosemaryward.decisions.leadership.readers import readers_to_follow
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord, ReplicaSets
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
 from rosemaryward.decisions.mirror import (
     FollowerSource,
@@ -67,8 +68,10 @@
     GROUP_PREFIX,
     LIVENESS_PREFIX,
     MEMBER_PREFIX,
+    REPLICA_SET_PREFIX,
     GroupRecordWriter,
     RecordSubscriber,
+    StoreReplicaSetWriter,
 )
 from rosemaryward.proxy.platform_registration import MemberRegistration
 from rosemaryward.proxy.platform_requests import MemberRequestHandler
@@ -133,6 +136,7 @@
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = MemberClient()
         self.record_writer = GroupRecordWriter(self.store)
+        self.replica_sets = ReplicaSets(StoreReplicaSetWriter(self.store))
         self.relay_client = RelayClient(settings.name, self.relay_selector)
         self.statement_pools = StatementPools(
             self.directory,
@@ -250,6 +254,11 @@
                 self.members.mark_absent,
             ),
             RecordSubscriber(GROUP_PREFIX, self._observe_group, self._group_removed),
+            RecordSubscriber(
+                REPLICA_SET_PREFIX,
+                self._observe_replica_set,
+                self.replica_sets.observe_removal,
+            ),
             RecordSubscriber(
                 FAILOVER_LOCK_KEY,
                 self._observe_failover_lock,
@@ -458,6 +467,11 @@
         configured = self.environment.groups.get(group)
         return None if configured is None else configured.max_connections
 
+    def _sync_replicas(self, group: str) -> int:
+        """Return how many replicas must receive a commit before it is acknowledged."""
+        configured = self.environment.groups.get(group)
+        return 0 if configured is None else configured.sync_replicas
+
     async def _request_release(self, name: str, token: int) -> bool:
         """Return whether the named member no longer acts under a fencing token."""
         member = self.members.members.get(name)
@@ -511,6 +525,10 @@
         log.warning("group record removed", group=name)
         self.leadership.observe_removal(name)
 
+    def _observe_replica_set(self, name: str, stored: StoredValue) -> None:
+        record = decode_json(stored.value, ReplicaSetRecord)
+        self.replica_sets.observe(name, record, stored.revision)
+
     def _observe_failover_lock(self, name: str, stored: StoredValue) -> None:
         record = decode_json(stored.value, LockRecord)
         self.failover_lock.observe(record, stored.revision)
@@ -563,6 +581,8 @@
             refresh_members=self._refresh_members,
             group_samples=self.target_selector.group_samples,
             fence_reports=self.fence_reports,
+            replica_sets=self.replica_sets,
+            sync_replicas=self._sync_replicas,
         )
         return PrimarySupervisor(group, context)
 
