Publish no primary of an earlier term, and demote replaced ones

Cause: a change of primary adopted the first endpoint that reported itself as primary, as one that an interrupted change had promoted. A primary that was cut off during its replacement reports the same. Nothing demoted it later, and a record that named a replica was never corrected.

Change: records name the term of the last primary that served. Only an endpoint that leads a later term, the newest reported one, counts as promoted. A replaced primary that answers is demoted when the new one is published, and before it can be a candidate. A recorded primary that says it is a replica is replaced.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -327,16 +327,18 @@
         statuses = await self._query_endpoints(
             self._other_ids(record), self.context.control.status
         )
+        newest_term = max((s.term for s in statuses.answered.values()), default=0)
         for endpoint_id, status in statuses.answered.items():
             if not status.is_primary:
                 continue
-            is_promoted = True
+            is_promoted = 0 < record.term < status.term == newest_term
             log.info(
                 "primary found",
                 group=self.group,
                 endpoint=endpoint_id,
                 term=status.term,
                 last_term=record.term,
+                newest_term=newest_term,
                 adopted=is_promoted,
             )
             if is_promoted:
@@ -560,7 +562,23 @@
             for member in self.context.members.live_members():
                 if member.name != self.context.lock.holder:
                     tasks.start_soon(self._send_record, member, notice)
-            await self._query_endpoints(others, self.context.control.release)
+            await self._query_endpoints(
+                others, lambda e: self._follow_primary(e, primary.term)
+            )
+
+    async def _follow_primary(self, endpoint_id: str, term: int) -> EndpointStatus:
+        """Resume replication at an endpoint, which is no primary of an earlier term."""
+        status = await self.context.control.release(endpoint_id)
+        if status.is_primary and status.term < term:
+            status = await self.context.control.demote(endpoint_id, term)
+            log.info(
+                "replaced primary demoted",
+                group=self.group,
+                endpoint=endpoint_id,
+                term=status.term,
+                newest_term=term,
+            )
+        return status
 
     async def restore_record(self) -> None:
         """Write the newest record of a group to a store that was restored.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -24,6 +24,7 @@
 REPLACE_AFTER_STALL_S = 0.7
 STALL_MIN_WRITE_AGE_S = 0.4  # of the oldest write without an answer
 STALL_CHECK_INTERVAL_S = 0.25
+ROLE_CHECK_INTERVAL_S = 0.5
 
 MAX_PROBING_MEMBERS = 11  # probes use slots of an endpoint that may only be busy
 MIN_ANSWERED_SHARE = 0.25  # of the asked members; others may have ended as well
@@ -58,6 +59,8 @@
         Newest log position that a replica had received at that time.
     stall_checked_at : float
         Boot time of the last comparison of log positions.
+    role_checked_at : float
+        Boot time of the last check of a primary that is registered as a replica.
     replica_set : ReplicaSetUpkeep
         Keeps the group's replica set up to date.
     """
@@ -76,6 +79,7 @@
         self.stalled_since: float | None = None
         self.stalled_position = LogPosition()
         self.stall_checked_at = 0.0
+        self.role_checked_at = 0.0
         self.replica_set = ReplicaSetUpkeep(group, context, clock)
 
     async def run(self) -> None:
@@ -147,12 +151,29 @@
             return "primary gone"
         if endpoint.leaving:
             return "primary leaving"
+        if not endpoint.claims_primary and await self._is_replica(record.primary):
+            return "primary has become a replica"
         if await self._is_silent(record.primary):
             return PRIMARY_SILENT
         if await self._is_stalled(record.primary):
             return "primary cut off from its replicas"
         return ""
 
+    async def _is_replica(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint reports that it is a replica.
+
+        Its registration may be older than its promotion, so its status decides.
+        """
+        now = self.clock()
+        if now - self.role_checked_at < ROLE_CHECK_INTERVAL_S:
+            return False
+        self.role_checked_at = now
+        try:
+            status = await self.context.control.status(endpoint_id)
+        except EndpointError:
+            return False
+        return not status.is_primary
+
     async def _is_silent(self, endpoint_id: str) -> bool:
         """Return whether an endpoint answers neither this proxy nor most members."""
         pool = self.context.directory.pools[endpoint_id]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -7,6 +7,7 @@
     FAR,
     GROUP,
     make_endpoint,
+    make_record,
 )
 from rosemaryward.decisions.leadership import change as change_module
 from rosemaryward.decisions.leadership import fencing
@@ -204,6 +205,33 @@
     assert run.leadership.records[GROUP].primary == "i-3"
 
 
+@pytest.mark.parametrize("recorded_term", [2, 0])
+async def test_primary_that_was_replaced_earlier_is_not_published(recorded_term):
+    """Guards against reads at a primary of an earlier term than the recorded one."""
+    run = ChangeScenario({"i-2": status(2, 5), "i-3": status(1, 9, is_primary=True)})
+    run.leadership.observe(GROUP, make_record(epoch=2, term=recorded_term), 2)
+    run.writer.revision = 2
+    await run.run(old_primary_silent=True)
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == ["i-2"]
+    assert run.leadership.records[GROUP].primary == "i-2"
+
+
+async def test_replaced_primary_is_demoted_when_the_new_one_is_published():
+    """Guards against a replaced primary that cannot reach the new one."""
+    run = ChangeScenario({"i-1": status(1, 6, is_primary=True), "i-2": status(1, 6)})
+    del run.directory.endpoints["i-3"]
+    await run.run(old_primary_silent=True)
+    operations = [operation for operation, e in run.control.calls if e == "i-1"]
+    assert operations == ["release", "demote"]
+
+
+async def test_record_names_the_term_of_the_new_primary():
+    """Guards against a later change that cannot tell which primary is the newest."""
+    run = ChangeScenario({"i-2": status(1, 5), "i-3": status(1, 5)})
+    await run.run()
+    assert [record.term for record in run.writer.records] == [1, 2]
+
+
 async def test_lost_lock_ends_the_change():
     """Guards against a promotion by a former holder of the failover lock."""
     run = ChangeScenario({"i-2": status(1, 5), "i-3": status(1, 5)})
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_reasons.py
@@ -70,6 +70,22 @@
     assert await run.check_after(0.1, 1.0, 5.0) == []
 
 
+@pytest.mark.parametrize(
+    ("is_primary", "reasons"),
+    [
+        pytest.param(False, ["primary has become a replica"], id="replica"),
+        pytest.param(True, [], id="registration-is-older"),
+    ],
+)
+async def test_recorded_primary_that_is_registered_as_a_replica(
+    monkeypatch, is_primary, reasons
+):
+    """Guards against refusing all writes while the record names a replica."""
+    run = Supervised(monkeypatch, HEALTHY | {"i-1": status(1, 5, is_primary)})
+    run.scenario.directory.observe(make_endpoint("i-1", FAR, claims_primary=False))
+    assert await run.check_after(0.1, 0.1) == reasons
+
+
 @pytest.mark.parametrize(
     ("reaches", "reasons"),
     [
