Sample positions only of the primary that may be used

Cause: answers in a transaction that had begun at a primary counted as samples, 'includes every commit acknowledged before', after that primary was replaced. Single reads then went to it as to a fresh replica.

Change: an answer is a sample only if its primary is still the usable one for this proxy when it arrives. A new primary acknowledges commits only after every proxy has put the fence in place or lost its confirmation. The same holds in relays and for the probes of the holder of the failover lock.

Before: test_only_answers_of_the_usable_primary_are_samples (3 of 4 rows) and test_relay_shares_no_position_of_a_replaced_primary failed (scratch copy).

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -166,6 +166,9 @@
             return
         if answer.failure is Failure.NOT_PRIMARY:
             return
+        # The log of a replaced primary lacks what the new one has acknowledged.
+        if self.leadership.primary(group) != target.record:
+            return
         samples = self.group_samples(group)
         for since_sent_s, position in answer.samples or [(0.0, answer.position)]:
             samples.record(sent_at + since_sent_s, position)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -19,6 +19,7 @@
     make_endpoint,
     make_record,
 )
+from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
 from rosemaryward.decisions.types import LogPosition
 
 NONE = LogPosition()
@@ -243,3 +244,27 @@
     assert leadership.change_age_s(GROUP) == 1.0
     leadership.observe(GROUP, make_record(2, "i-2"), 6)
     assert leadership.change_age_s(GROUP) is None
+
+
+@pytest.mark.parametrize(
+    ("replacement", "sampled"),
+    [
+        pytest.param(None, True, id="still-primary"),
+        pytest.param("fenced", False, id="fenced"),
+        pytest.param("replaced", False, id="replaced"),
+        pytest.param("unconfirmed", False, id="unconfirmed"),
+    ],
+)
+def test_only_answers_of_the_usable_primary_are_samples(replacement, sampled):
+    """Guards against bounded reads that lack what a newer primary acknowledged."""
+    harness = GatewayHarness(BOUNDED)
+    target = harness.selector.select_primary(GROUP)
+    if replacement == "fenced":
+        harness.leadership.fence(GROUP, 2)
+    elif replacement == "replaced":
+        harness.leadership.observe(GROUP, make_record(epoch=2, primary="i-2"), 2)
+    elif replacement == "unconfirmed":
+        harness.clock.now += CONFIRMATION_VALIDITY_S
+    answer = Answer([], "-", ConnectionState.IDLE, LogPosition(1, 10))
+    harness.selector.record_answer(target, harness.clock(), answer)
+    assert bool(harness.selector.group_samples(GROUP).samples) is sampled
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -194,7 +194,7 @@
             sent_at = self.clock()
             try:
                 status = await self.context.control.status(endpoint_id)
-                if status.is_primary:
+                if status.is_primary and self._is_usable_primary(endpoint_id):
                     samples = self.context.group_samples(self.group)
                     samples.record(sent_at, status.received)
                 tasks.cancel_scope.cancel()
@@ -204,6 +204,11 @@
         silent_s = self.clock() - max(pool.last_answer_at, self.primary_since)
         return unreachable and silent_s >= REPLACE_AFTER_SILENCE_S
 
+    def _is_usable_primary(self, endpoint_id: str) -> bool:
+        """Return whether no other endpoint can have acknowledged newer commits."""
+        record = self.context.leadership.primary(self.group)
+        return record is not None and record.primary == endpoint_id
+
     async def _is_unreachable_for_most(self, endpoint_id: str) -> bool:
         """Return whether fewer than half of the members reach an endpoint.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -160,6 +160,17 @@
             )
         return None
 
+    def _is_usable_primary(
+        self, pool: EndpointPool, admission: AdmissionParameters
+    ) -> bool:
+        """Return whether an endpoint is the primary that a statement expects."""
+        record = self.leadership.primary(pool.endpoint.group)
+        return (
+            record is not None
+            and record.primary == pool.endpoint.id
+            and record.epoch == admission.epoch
+        )
+
     def make_reply(
         self,
         pool: EndpointPool,
@@ -187,6 +198,8 @@
             return Answered(answer)
         if answer.failure is Failure.NOT_PRIMARY:
             return Answered(answer)
+        if not self._is_usable_primary(pool, admission):
+            return Answered(answer)
         samples = self.samples(pool.endpoint.group)
         samples.record(times.sent_at, answer.position)
         shared = [
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -10,7 +10,11 @@
     Failure,
 )
 from rosemaryward.decisions.gateway.statements import AdmissionParameters
-from rosemaryward.decisions.gateway.tests.fakes import GROUP, parse_statement
+from rosemaryward.decisions.gateway.tests.fakes import (
+    GROUP,
+    make_record,
+    parse_statement,
+)
 from rosemaryward.decisions.relays.messages import (
     Answered,
     BeginRequest,
@@ -331,6 +335,19 @@
     assert oldest.index == 10
 
 
+async def test_relay_shares_no_position_of_a_replaced_primary():
+    """Guards against samples of a log that lacks a newer primary's commits."""
+    harness = RelayedGatewayHarness()
+
+    def replace_primary():
+        record = make_record(epoch=2, primary="i-2")
+        harness.relay.leadership.observe(GROUP, record, 2)
+
+    reply = await run_after_slot_wait(harness, "READ k", replace_primary)
+    assert reply.answer.samples == []
+    assert not harness.relay.selector.group_samples(GROUP).samples
+
+
 async def test_position_is_dated_when_the_relay_sent_the_statement():
     """Guards against samples that are too old by the wait in the relay's queue."""
     harness = RelayedGatewayHarness()
