--- a/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
@@ -37,6 +37,7 @@
 from rosemaryward.decisions.leadership import failover_lock as decisions_failover_lock
 from rosemaryward.decisions.leadership import members as decisions_members
 from rosemaryward.decisions.leadership import records as decisions_records
+from rosemaryward.decisions.leadership import replica_sets as decisions_replica_sets
 from rosemaryward.decisions.membership import delta as decisions_delta
 from rosemaryward.decisions.mirror import follower as decisions_follower
 from rosemaryward.decisions.mirror import store as decisions_store
@@ -195,6 +196,7 @@
     ("Message between members, tag changed", decisions_follower.ChangesReply),
     ("Fields: member in the store and in messages", decisions_members.MemberRecord),
     ("Fields: group in the store and in messages", decisions_records.GroupRecord),
+    ("Fields: replica set in the store", decisions_replica_sets.ReplicaSetRecord),
     ("Fields: holder of the duty in the store", decisions_failover_lock.LockRecord),
     ("Fields: value in ChangesReply", decisions_store.StoredValue),
     ("Fields: document in the store", decisions_stored.StoredDocument),
