Check every promotion of the soak against the acknowledged commits

The soak crashed no instance while another one was down, as the crashed one might hold the only copy of an entry, and compared only the last log with what callers were told.

The selection 'crashes' lets instances crash for longer than their registration lasts while replicas receive nothing and proxies are killed. The log of each promoted instance is kept and must have each commit acknowledged before.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -20,6 +20,9 @@
 DURATION_RANGE_S = (0.3, 7.0)
 LINK_DELAY_S = 0.15
 LEAVING_DURATION_S = 5.0
+# Longer than an endpoint without a registration stays in the proxies' lists.
+LONG_CRASH_RANGE_S = (5.0, 9.0)
+CRASH_DELAY_RANGE_S = (0.2, 1.5)  # from the last entry that a replica receives
 
 log = structlog.get_logger(__name__)
 
@@ -82,6 +85,19 @@
             self.reload_settings,
         ]
 
+    def select_crashes(self) -> None:
+        """Inject only faults that threaten commits of which few logs have a copy."""
+        self.kinds = [
+            self.crash_primary_with_deaf_replica,
+            self.crash_primary_with_deaf_replica,
+            self.crash_any,
+            self.isolate_primary,
+            self.disturb_instance_links,
+            self.kill,
+            self.kill_many,
+            self.refuse_store,
+        ]
+
     async def run(self, duration_s: float) -> None:
         """Start faults for `duration_s` seconds and wait until all have ended."""
         until = time.monotonic() + duration_s
@@ -223,6 +239,29 @@
         instance.restart()
         self.end(record)
 
+    async def crash_any(self) -> None:
+        """Crash an instance for long, whatever the state of the others."""
+        await self._crash_for_long(self.rng.choice(self.fleet.group.instances))
+
+    async def crash_primary_with_deaf_replica(self) -> None:
+        """Let a replica receive nothing, then crash the primary for long."""
+        replica = self._random_replica()
+        record = self.begin("receives nothing", replica.name)
+        replica.is_isolated = True
+        await anyio.sleep(self.rng.uniform(*CRASH_DELAY_RANGE_S))
+        await self._crash_for_long(self.fleet.group.primary)
+        replica.is_isolated = False
+        self.end(record)
+
+    async def _crash_for_long(self, instance: FakeInstance) -> None:
+        if not instance.alive:
+            return
+        record = self.begin("crash", instance.name)
+        await instance.crash()
+        await anyio.sleep(self.rng.uniform(*LONG_CRASH_RANGE_S))
+        instance.restart()
+        self.end(record)
+
     async def isolate_primary(self) -> None:
         """Cut the primary off from its replicas."""
         leader = self.fleet.group.primary
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
@@ -98,6 +98,7 @@
         violations += _check_outcome(operation, runs, log)
     violations += _check_staleness(operations, runs, log, max_staleness_s)
     violations += _check_promotions(group)
+    violations += _check_promoted_logs(operations, group)
     return violations
 
 
@@ -168,24 +169,39 @@
     return violations
 
 
+def _commits(operation: Operation) -> list[StatementRecord]:
+    """Return the statements of an operation that commit."""
+    return [
+        statement
+        for statement in operation.statements
+        if statement.text == "COMMIT"
+        or (
+            not operation.transaction
+            and statement.text.startswith(("WRITE", "EXECUTE w"))
+        )
+    ]
+
+
+def _acknowledged_commits(operation: Operation) -> list[StatementRecord]:
+    """Return the commits of an operation that wrote and that a caller was told of."""
+    wrote = not operation.transaction or any(
+        s.text.startswith("WRITE") and s.succeeded for s in operation.statements
+    )
+    return [s for s in _commits(operation) if wrote and s.succeeded]
+
+
 def _check_outcome(
     operation: Operation,
     runs: dict[str, list[ExecutedStatement]],
     log: dict[str, LogPosition],
 ) -> list[str]:
     """Find acknowledged commits that are lost and refused ones that took effect."""
-    violations = []
-    for statement in operation.statements:
-        commits = statement.text.startswith(("WRITE", "EXECUTE w", "COMMIT"))
-        if operation.transaction and statement.text != "COMMIT":
-            commits = False
-        if not commits:
-            continue
-        wrote = not operation.transaction or any(
-            s.text.startswith("WRITE") and s.succeeded for s in operation.statements
-        )
-        if statement.succeeded and wrote and statement.request_id not in log:
-            violations.append(f"lost: {statement.request_id} {statement.text!r}")
+    violations = [
+        f"lost: {statement.request_id} {statement.text!r}"
+        for statement in _acknowledged_commits(operation)
+        if statement.request_id not in log
+    ]
+    for statement in _commits(operation):
         if operation.expects_no_effect and statement.request_id in log:
             violations.append(
                 f"refused: {statement.request_id} {statement.text!r} was kept"
@@ -252,3 +268,28 @@
         if holders.setdefault(token, holder) != holder:
             violations.append(f"one: {holder} and {holders[token]} used token {token}")
     return violations
+
+
+def _check_promoted_logs(operations: list[Operation], group: FakeGroup) -> list[str]:
+    """Find commits that were acknowledged before a promotion that lacks them."""
+    commits = [
+        statement
+        for operation in operations
+        for statement in _acknowledged_commits(operation)
+    ]
+    violations = []
+    for promoted in group.promoted_logs:
+        missing = [
+            commit
+            for commit in commits
+            if commit.ended_at is not None
+            and commit.ended_at < promoted.promoted_at
+            and commit.request_id not in promoted.request_ids
+        ]
+        if missing:
+            violations.append(
+                f"lost: {promoted.instance} was promoted in term {promoted.term} "
+                f"without {len(missing)} acknowledged commits, such as "
+                f"{missing[0].request_id}"
+            )
+    return violations
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
@@ -51,12 +51,16 @@
         statement.
     RESTORED
         Faults and planned work, drawn one by one, beside restores of the store.
+    CRASHES
+        Crashes of instances that overlap, with replicas that receive nothing, and
+        kills of proxies.
     """
 
     SINGLE = "single"
     MIXED = "mixed"
     PLANNED = "planned"
     RESTORED = "restored"
+    CRASHES = "crashes"
 
     @classmethod
     def of_seed(cls, seed: int) -> "FaultSelection":
@@ -126,6 +130,8 @@
     is_balanced = in_series and random.Random(seed + 3).random() < BALANCED_SHARE
     load = Callers(fleet, random.Random(seed + 1), in_series, is_balanced)
     faults = Faults(fleet, rng)
+    if selection is FaultSelection.CRASHES:
+        faults.select_crashes()
     maintenance = Maintenance(fleet, faults, random.Random(seed + 2))
     restores = Restores(fleet, faults, random.Random(seed + 4))
     violations: list[str] = []
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
@@ -2,7 +2,12 @@
 
 from rosemaryward.bench.soak.history import Operation, StatementRecord, check
 from rosemaryward.decisions.types import LogPosition
-from rosemaryward.platform.fakes.group import ExecutedStatement, FakeGroup, LogEntry
+from rosemaryward.platform.fakes.group import (
+    ExecutedStatement,
+    FakeGroup,
+    LogEntry,
+    PromotedLog,
+)
 
 PLACES = [("north", "a"), ("south", "b")]
 MAX_STALENESS_S = 1.5
@@ -159,3 +164,19 @@
     assert check([], group, MAX_STALENESS_S) == [
         "one: proxy-2 and proxy-1 used token 7"
     ]
+
+
+@pytest.mark.parametrize(
+    ("log", "promoted_at", "lost"),
+    [
+        pytest.param(["a"], 11.0, False, id="has-the-commit"),
+        pytest.param([], 11.0, True, id="lacks-the-commit"),
+        pytest.param([], 10.0, False, id="before-the-acknowledgement"),
+    ],
+)
+def test_promotion_without_an_acknowledged_commit_is_found(log, promoted_at, lost):
+    """Guards against a lost commit that a later change of primary hides."""
+    group = make_group(["a"], [ran("a", WRITE)])
+    group.promoted_logs = [PromotedLog("i-2", 2, promoted_at, frozenset(log))]
+    violations = check([operation(statement("a", WRITE))], group, MAX_STALENESS_S)
+    assert bool(violations) is lost
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_soak.py
@@ -43,6 +43,22 @@
     assert result.succeeded > 0
 
 
+@pytest.mark.timeout(120)
+async def test_commits_survive_crashes_that_overlap(tmp_path):
+    """Guards against promotions without a commit that only crashed instances have."""
+    result = await soak(
+        7000,
+        2 * DURATION_S,
+        PROXIES,
+        3 * PROXIES,
+        tmp_path,
+        ROOT,
+        FaultSelection.CRASHES,
+    )
+    assert result.violations == []
+    assert result.succeeded > 0
+
+
 @pytest.mark.timeout(120)
 async def test_promises_hold_when_the_store_is_restored(tmp_path):
     """Guards against state that was only valid before the store came from a copy."""
