--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -122,22 +122,43 @@
             self.stalled_since = None
 
     async def _record_first_primary(self) -> None:
-        """Record the first primary of a group, if only one endpoint claims to be it."""
+        """Record the first primary of a group, if exactly one endpoint leads it."""
         claimants = [
-            e for e in self.context.directory.in_group(self.group) if e.claims_primary
+            e.id
+            for e in self.context.directory.in_group(self.group)
+            if e.claims_primary
         ]
-        if len(claimants) != 1:
-            return
-        status = await self.context.control.status(claimants[0].id)
-        if not status.is_primary:
+        terms: dict[str, int] = {}
+        for endpoint_id in claimants:
+            try:
+                status = await self.context.control.status(endpoint_id)
+            except EndpointError as error:
+                log.info(
+                    "claim of a first primary not confirmed",
+                    group=self.group,
+                    endpoint=endpoint_id,
+                    error=str(error),
+                )
+                continue
+            if status.is_primary:
+                terms[endpoint_id] = status.term
+        newest_term = max(terms.values(), default=0)
+        leaders = [e for e, term in terms.items() if term == newest_term]
+        if len(leaders) != 1:
+            log.info(
+                "first primary unknown",
+                group=self.group,
+                claimants=claimants,
+                terms=terms,
+            )
             return
         await self.replica_set.add_registered()
         record = GroupRecord(
             epoch=self.context.leadership.next_epoch(self.group),
-            primary=claimants[0].id,
+            primary=leaders[0],
             serving=True,
             holder=self.context.lock.holder,
-            term=status.term,
+            term=newest_term,
         )
         revision = await self.context.writer.write(self.group, record, 0)
         self.context.leadership.observe(self.group, record, revision)
