--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -184,7 +184,8 @@
         """Disturb the links from one proxy to the others."""
         proxy = self._random_proxy()
         links = [link for name, link in proxy.links.items() if "/" in name]
-        await self._disturb(links)
+        if links:
+            await self._disturb(links)
 
     async def isolate_proxy(self) -> None:
         """Cut all links from one proxy."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,8 +1,6 @@
 """Change of a group's primary: announce, fence, promote, publish."""
 
-import math
-from collections.abc import Awaitable, Callable
-from typing import Protocol
+from collections.abc import Callable
 
 import anyio
 import msgspec
@@ -14,41 +12,27 @@
     PeerError,
     RosemarywardError,
 )
-from rosemaryward.decisions.freshness import PositionSamples
-from rosemaryward.decisions.gateway.directory import EndpointDirectory
-from rosemaryward.decisions.leadership.confirmation import Confirmation
-from rosemaryward.decisions.leadership.control import (
-    EndpointControl,
-    EndpointStatus,
-    Promoter,
+from rosemaryward.decisions.leadership.candidates import (
+    CandidateSelector,
+    EndpointStatuses,
 )
-from rosemaryward.decisions.leadership.fence_reports import FenceReports
+from rosemaryward.decisions.leadership.context import FailoverContext
+from rosemaryward.decisions.leadership.control import EndpointStatus
 from rosemaryward.decisions.leadership.fencing import MemberFence
 from rosemaryward.decisions.leadership.members import (
     FenceRequest,
-    MemberDirectory,
     MemberRecord,
-    PeerChannel,
     RecordNotice,
 )
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_VALIDITY_S,
     GroupRecord,
-    Leadership,
-)
-from rosemaryward.decisions.leadership.replica_sets import (
-    ReplicaSets,
-    count_uncertain,
-    merge_endpoints,
 )
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = [
     "ChangeAbandonedError",
-    "FailoverContext",
-    "LockState",
     "PrimaryChange",
-    "RecordWriter",
 ]
 
 CONFIRMATION_MARGIN_S = 0.2  # clock drift between hosts during one confirmation
@@ -67,114 +51,6 @@
     """A change of primary cannot continue; its record keeps `serving` false."""
 
 
-class LockState(Protocol):
-    """State of the failover lock at this proxy.
-
-    Attributes
-    ----------
-    holder : str
-        Name of this proxy.
-    token : int
-        Fencing token.
-    """
-
-    holder: str
-    token: int
-
-    def is_held(self) -> bool:
-        """Return whether this process certainly holds the lock."""
-
-
-class RecordWriter(Protocol):
-    """Conditional writes of group records."""
-
-    async def write(self, group: str, record: GroupRecord, expected: int) -> int:
-        """Write a record and return its store revision.
-
-        Parameters
-        ----------
-        group : str
-            Group of the record.
-        record : GroupRecord
-            Record to write.
-        expected : int
-            Store revision of the record to replace, 0 if there must be none.
-
-        Raises
-        ------
-        ConflictError
-            If the record has another revision.
-        StoreError
-            If the store does not answer.
-        """
-
-
-class FailoverContext(msgspec.Struct, frozen=True, kw_only=True):
-    """Objects that failure detection and changes of primary use.
-
-    Parameters
-    ----------
-    lock : LockState
-        Failover lock, needed for every step of a change.
-    directory : EndpointDirectory
-        Registered endpoints.
-    leadership : Leadership
-        Primary records known to this proxy.
-    members : MemberDirectory
-        Members to fence.
-    peers : PeerChannel
-        Requests to other members.
-    control : EndpointControl
-        Control of the endpoints.
-    promoter : Promoter
-        Promotion call of the platform.
-    writer : RecordWriter
-        Writes group records to the store.
-    confirmation : Confirmation
-        Counts the changes in progress.
-    refresh_members : callable
-        Reads the members from the store; raises `StoreError`.
-    group_samples : callable
-        Returns the position samples of a group's primary.
-    fence_reports : FenceReports
-        Fence replies of members that this one does not reach.
-    replica_sets : ReplicaSets
-        Endpoints that may hold acknowledged commits, by group.
-    sync_replicas : callable
-        Returns how many replicas must receive a commit of a group before it is
-        acknowledged.
-    """
-
-    lock: LockState
-    directory: EndpointDirectory
-    leadership: Leadership
-    members: MemberDirectory
-    peers: PeerChannel
-    control: EndpointControl
-    promoter: Promoter
-    writer: RecordWriter
-    confirmation: Confirmation
-    refresh_members: Callable[[], Awaitable[None]]
-    group_samples: Callable[[str], PositionSamples]
-    fence_reports: FenceReports
-    replica_sets: ReplicaSets
-    sync_replicas: Callable[[str], int]
-
-    def tolerated_logs(self, group: str) -> int:
-        """Return how many logs of a group may be lost without an acknowledged commit.
-
-        Without synchronous replicas, the loss of the primary's log is accepted.
-        """
-        return max(self.sync_replicas(group), 1)
-
-
-class _Statuses(msgspec.Struct, frozen=True):
-    """Statuses of the endpoints that answered, and ids of those that did not."""
-
-    answered: dict[str, EndpointStatus]
-    silent: list[str]
-
-
 class _Promoted(msgspec.Struct, frozen=True):
     """Endpoint that leads a new term."""
 
@@ -204,6 +80,8 @@
         Store revision of the record that announced the change.
     old_primary_silent : bool
         Whether the old primary is assumed not to answer.
+    candidates : CandidateSelector
+        Selects the endpoint to promote.
     """
 
     def __init__(
@@ -219,6 +97,7 @@
         self.all_members_fenced = False
         self.revision = 0
         self.old_primary_silent = False
+        self.candidates = CandidateSelector(group, context)
 
     async def run(self, reason: str, old_primary_silent: bool = False) -> None:
         """Replace the primary and publish the new one.
@@ -371,21 +250,31 @@
     async def _find_candidate(self, record: GroupRecord) -> str | None:
         """Return the endpoint to promote, the old primary only if no other can be."""
         statuses = await self._stop_commits(record)
-        best = self._choose_candidate(statuses, record)
+        best = self._choose(statuses, record)
         if best is not None or not self._is_registered(record.primary):
             return best
         if record.primary not in statuses.answered:
             old = await self._query_endpoints(
                 [record.primary], self.context.control.status
             )
-            statuses = _Statuses(
+            statuses = EndpointStatuses(
                 statuses.answered | old.answered, statuses.silent + old.silent
             )
         if record.primary not in statuses.answered:
             return None
-        return self._choose_candidate(statuses, record, old_primary=True)
+        return self._choose(statuses, record, old_primary=True)
 
-    async def _stop_commits(self, record: GroupRecord) -> _Statuses:
+    def _choose(
+        self, statuses: EndpointStatuses, record: GroupRecord, old_primary: bool = False
+    ) -> str | None:
+        """Return the old primary, or another endpoint, if it has all commits."""
+        eligible = {
+            e for e in statuses.answered if (e == record.primary) is old_primary
+        }
+        reported = self.acknowledged if self.all_members_fenced else None
+        return self.candidates.choose(statuses, eligible, reported)
+
+    async def _stop_commits(self, record: GroupRecord) -> EndpointStatuses:
         """Ensure that the old primary confirms no more commits; read the statuses."""
         replica_ids = self._other_ids(record)
         statuses = await self._query_endpoints(replica_ids, self.context.control.status)
@@ -415,8 +304,8 @@
         return statuses
 
     async def _hold_replicas(
-        self, statuses: _Statuses, record: GroupRecord, term: int
-    ) -> _Statuses:
+        self, statuses: EndpointStatuses, record: GroupRecord, term: int
+    ) -> EndpointStatuses:
         """Pause the replication of all replicas for a term; read the statuses."""
         control = self.context.control
         terms = [status.term for status in statuses.answered.values()]
@@ -447,67 +336,6 @@
             )
             return None
 
-    def _choose_candidate(
-        self, statuses: _Statuses, record: GroupRecord, old_primary: bool = False
-    ) -> str | None:
-        """Return the endpoint to promote, None if none surely has all commits.
-
-        Parameters
-        ----------
-        statuses : _Statuses
-            Statuses read after the old primary stopped confirming commits.
-        record : GroupRecord
-            Announced record.
-        old_primary : bool
-            Whether to choose the old primary instead of another endpoint.
-        """
-        candidates = {
-            endpoint_id: status
-            for endpoint_id, status in statuses.answered.items()
-            if (endpoint_id == record.primary) is old_primary
-            and not self._is_leaving(endpoint_id)
-        }
-        if not candidates:
-            return None
-        best = max(candidates, key=lambda e: candidates[e].received)
-        received = candidates[best].received
-        positions = {e: s.received for e, s in statuses.answered.items()}
-        replica_set = self._replica_set()
-        uncertain = count_uncertain(received, replica_set, positions)
-        tolerated = self.context.tolerated_logs(self.group)
-        acknowledged = self._newest_acknowledged()
-        has_all_acknowledged = acknowledged is not None and received >= acknowledged
-        is_chosen = uncertain <= tolerated or has_all_acknowledged
-        log.info(
-            "candidate",
-            group=self.group,
-            endpoint=best,
-            received=received.to_token(),
-            newest=max(positions.values()).to_token(),
-            acknowledged="" if acknowledged is None else acknowledged.to_token(),
-            reported=self.acknowledged.to_token(),
-            silent=statuses.silent,
-            replica_set=sorted(replica_set),
-            uncertain=uncertain,
-            tolerated=tolerated,
-            chosen=is_chosen,
-        )
-        return best if is_chosen else None
-
-    def _newest_acknowledged(self) -> LogPosition | None:
-        """Return a position that includes all acknowledged writes, None if unknown.
-
-        Processes that have ended do not answer a fence. A sample of the primary's
-        position that was taken since includes what they have seen acknowledged.
-        """
-        if not self.all_members_fenced:
-            return None
-        ended_at = self.context.members.last_end_at()
-        if math.isinf(ended_at):
-            return self.acknowledged
-        sampled = self.context.group_samples(self.group).required_position(ended_at)
-        return None if sampled is None else max(self.acknowledged, sampled)
-
     async def _promote(self, endpoint_id: str) -> int | None:
         """Promote an endpoint and wait; return its term, None if it did not lead."""
         deadline = self.clock() + PROMOTION_TIMEOUT_S
@@ -667,20 +495,9 @@
     def _is_registered(self, endpoint_id: str) -> bool:
         return endpoint_id in self.context.directory.endpoints
 
-    def _is_leaving(self, endpoint_id: str) -> bool:
-        """Return whether an endpoint leaves, or has left during the change."""
-        endpoint = self.context.directory.endpoints.get(endpoint_id)
-        return endpoint is None or endpoint.leaving
-
-    def _replica_set(self) -> dict[str, str]:
-        """Return the endpoints that may hold acknowledged commits, with addresses."""
-        recorded = self.context.replica_sets.endpoints(self.group)
-        registered = self.context.directory.in_group(self.group)
-        return merge_endpoints(recorded, registered)
-
     async def _query_endpoints(  # type: ignore[no-untyped-def]
         self, endpoint_ids: list[str], query
-    ) -> _Statuses:
+    ) -> EndpointStatuses:
         """Send a query to endpoints in parallel; silent ones are listed as such."""
         answered: dict[str, EndpointStatus] = {}
         silent: list[str] = []
@@ -699,7 +516,7 @@
         async with anyio.create_task_group() as tasks:
             for endpoint_id in endpoint_ids:
                 tasks.start_soon(query_endpoint, endpoint_id)
-        return _Statuses(answered, silent)
+        return EndpointStatuses(answered, silent)
 
     def _newest_term(self, status: EndpointStatus) -> int:
         """Return the newest term that an endpoint reports."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_set_upkeep.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_set_upkeep.py
@@ -1,17 +1,14 @@
 """Upkeep of a group's replica set by the holder of the failover lock."""
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
 
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import EndpointError
+from rosemaryward.decisions.leadership.context import FailoverContext
 from rosemaryward.decisions.leadership.replica_sets import merge_endpoints
 
-if TYPE_CHECKING:
-    from rosemaryward.decisions.leadership.change import FailoverContext
-
 __all__ = ["ReplicaSetUpkeep"]
 
 # An endpoint that failed returns with its log, and may confirm commits before its
@@ -47,7 +44,7 @@
     def __init__(
         self,
         group: str,
-        context: "FailoverContext",
+        context: FailoverContext,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
         self.group = group
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -9,7 +9,8 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import EndpointError, PeerError, RosemarywardError
-from rosemaryward.decisions.leadership.change import FailoverContext, PrimaryChange
+from rosemaryward.decisions.leadership.change import PrimaryChange
+from rosemaryward.decisions.leadership.context import FailoverContext
 from rosemaryward.decisions.leadership.members import MemberRecord, ReachabilityRequest
 from rosemaryward.decisions.leadership.records import GroupRecord
 from rosemaryward.decisions.leadership.replica_set_upkeep import ReplicaSetUpkeep
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -14,8 +14,9 @@
     make_endpoint,
     make_record,
 )
-from rosemaryward.decisions.leadership.change import FailoverContext, PrimaryChange
+from rosemaryward.decisions.leadership.change import PrimaryChange
 from rosemaryward.decisions.leadership.confirmation import Confirmation
+from rosemaryward.decisions.leadership.context import FailoverContext
 from rosemaryward.decisions.leadership.control import EndpointStatus
 from rosemaryward.decisions.leadership.fence_reports import FenceReports
 from rosemaryward.decisions.leadership.members import (
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -19,8 +19,8 @@
 from rosemaryward.decisions.gateway.prober import EndpointProber
 from rosemaryward.decisions.gateway.session import CallerSession
 from rosemaryward.decisions.gateway.targets import TargetSelector
-from rosemaryward.decisions.leadership.change import FailoverContext
 from rosemaryward.decisions.leadership.confirmation import Confirmation
+from rosemaryward.decisions.leadership.context import FailoverContext
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock, LockRecord
 from rosemaryward.decisions.leadership.fence_reports import FenceReporter, FenceReports
 from rosemaryward.decisions.leadership.liveness import LivenessDelegate
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -94,6 +94,9 @@
     "slots": 5,
     "state": "ready",
     "db_role": "primary",
+    "version": "v1",
+    "warmup_left_ms": 0,
+    "sequence": 4,
 }
 
 
