--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -1,7 +1,7 @@
 """Selection of the endpoint that becomes the primary of a group."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Sequence
 
 import msgspec
 import structlog
@@ -58,7 +58,7 @@
     def choose(
         self,
         statuses: EndpointStatuses,
-        eligible: Collection[str],
+        eligible: Sequence[str],
         reported: LogPosition | None,
     ) -> str | None:
         """Return the endpoint to promote, None if none surely has all commits.
@@ -67,8 +67,9 @@
         ----------
         statuses : EndpointStatuses
             Statuses read after the old primary stopped confirming commits.
-        eligible : collection of str
-            Endpoints that answered and may be promoted, unless they leave.
+        eligible : sequence of str
+            Endpoints that answered and may be promoted, unless they leave; the first
+            one among equals is chosen.
         reported : LogPosition or None
             Newest position that all members have seen acknowledged, None if some
             have not answered.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -268,9 +268,9 @@
         self, statuses: EndpointStatuses, record: GroupRecord, old_primary: bool = False
     ) -> str | None:
         """Return the old primary, or another endpoint, if it has all commits."""
-        eligible = {
+        eligible = [
             e for e in statuses.answered if (e == record.primary) is old_primary
-        }
+        ]
         reported = self.acknowledged if self.all_members_fenced else None
         return self.candidates.choose(statuses, eligible, reported)
 
