Demote primaries of earlier terms before a candidate is chosen

Found by test_replication_machine together with the check below: after the newest primary had been demoted, one that was replaced earlier still reported itself as primary of its own term. It passed for promoted at once, or its promotion changed nothing for good.

Both ways of stopping commits now demote such primaries first, and a promotion counts only if the endpoint leads a term that is not earlier than the recorded one. test_promotion_of_a_primary_of_an_earlier_term_is_awaited failed without the check (term 1 published instead of 3), the machine without the demotion (no primary although all instances were back). 600 examples of the machine pass.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -237,7 +237,7 @@
             self._check_lock()
             best = await self._find_candidate(record)
             if best is not None:
-                term = await self._promote(best)
+                term = await self._promote(best, record)
                 if term is not None:
                     return _Promoted(best, term)
             if self.clock() - started_at > CONFIRMATION_VALIDITY_S:
@@ -282,13 +282,14 @@
             (self._newest_term(s) for s in statuses.answered.values()), default=0
         )
         term = max(newest, record.term) + 1
+        await self._demote_replaced(statuses, record, term)
         if self.old_primary_silent:
             # Without receiving replicas it cannot confirm commits, reachable or not.
-            return await self._hold_replicas(statuses, record, term)
+            return await self._hold_replicas(replica_ids, term)
         demoted = await self._demote(record.primary, term)
         if demoted is None:
             self.old_primary_silent = True
-            return await self._hold_replicas(statuses, record, term)
+            return await self._hold_replicas(replica_ids, term)
         deadline = self.clock() + CATCH_UP_TIMEOUT_S
         while True:
             # Entries that were confirmed before the demotion are in these statuses.
@@ -303,24 +304,27 @@
         statuses.answered[record.primary] = demoted
         return statuses
 
-    async def _hold_replicas(
+    async def _demote_replaced(
         self, statuses: EndpointStatuses, record: GroupRecord, term: int
+    ) -> None:
+        """Demote primaries of earlier terms, which are not the promoted one."""
+        newest = max([record.term, *(s.term for s in statuses.answered.values())])
+        replaced = [
+            endpoint_id
+            for endpoint_id, status in statuses.answered.items()
+            if status.is_primary and status.term < newest
+        ]
+        await self._query_endpoints(
+            replaced, lambda e: self.context.control.demote(e, term)
+        )
+
+    async def _hold_replicas(
+        self, endpoint_ids: list[str], term: int
     ) -> EndpointStatuses:
-        """Pause the replication of all replicas for a term; read the statuses."""
-        control = self.context.control
-        terms = [status.term for status in statuses.answered.values()]
-        newest_term = max([record.term, *terms])
-
-        async def hold(endpoint_id: str) -> EndpointStatus:
-            known = statuses.answered.get(endpoint_id)
-            if known is not None and known.is_primary:
-                # One that was replaced earlier must not pass for the promoted one.
-                if known.term < newest_term:
-                    return await control.demote(endpoint_id, term)
-                return await control.status(endpoint_id)
-            return await control.hold(endpoint_id, term)
-
-        return await self._query_endpoints([*statuses.answered, *statuses.silent], hold)
+        """Pause the replication of endpoints for a term; primaries only answer."""
+        return await self._query_endpoints(
+            endpoint_ids, lambda e: self.context.control.hold(e, term)
+        )
 
     async def _demote(self, endpoint_id: str, term: int) -> EndpointStatus | None:
         """Demote the old primary; return its status, None if it does not answer."""
@@ -336,7 +340,7 @@
             )
             return None
 
-    async def _promote(self, endpoint_id: str) -> int | None:
+    async def _promote(self, endpoint_id: str, record: GroupRecord) -> int | None:
         """Promote an endpoint and wait; return its term, None if it did not lead."""
         deadline = self.clock() + PROMOTION_TIMEOUT_S
         accepted = False
@@ -360,7 +364,8 @@
                     if not accepted:
                         return None
                 status = await self.context.control.status(endpoint_id)
-                if status.is_primary:
+                # One that was replaced earlier leads its own term until then.
+                if status.is_primary and status.term >= record.term:
                     return status.term
                 await anyio.sleep(STATUS_POLL_INTERVAL_S)
             except RosemarywardError as error:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -216,6 +216,29 @@
     assert run.leadership.records[GROUP].primary == "i-2"
 
 
+async def test_promotion_of_a_primary_of_an_earlier_term_is_awaited():
+    """Guards against publishing a primary before it leads the new term."""
+    run = ChangeScenario({"i-1": status(2, 5), "i-2": status(1, 9, is_primary=True)})
+    del run.directory.endpoints["i-3"]
+    run.leadership.observe(GROUP, make_record(epoch=2, term=2), 2)
+    run.writer.revision = 2
+    run.peers.fenced = {"proxy-1": LogPosition(1, 9), "proxy-2": LogPosition(1, 9)}
+
+    async def promote_later(group, endpoint_id, holder, token):
+        run.control.statuses["i-1"] = status(2, 5)
+        return True
+
+    async def lead_later():
+        await anyio.sleep(0.1)
+        run.control.statuses["i-2"] = status(3, 9, is_primary=True)
+
+    run.promoter.promote = promote_later
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(lead_later)
+        await run.run()
+    assert run.writer.records[-1].term == 3
+
+
 async def test_replaced_primary_is_demoted_when_the_new_one_is_published():
     """Guards against a replaced primary that cannot reach the new one."""
     run = ChangeScenario({"i-1": status(1, 6, is_primary=True), "i-2": status(1, 6)})
