--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -88,8 +88,8 @@
     def select_crashes(self) -> None:
         """Inject only faults that threaten commits of which few logs have a copy."""
         self.kinds = [
-            self.crash_primary_with_deaf_replica,
-            self.crash_primary_with_deaf_replica,
+            self.crash_primary_with_stalled_replica,
+            self.crash_primary_with_stalled_replica,
             self.crash_any,
             self.isolate_primary,
             self.disturb_instance_links,
@@ -244,7 +244,7 @@
         """Crash an instance for long, whatever the state of the others."""
         await self._crash_for_long(self.rng.choice(self.fleet.group.instances))
 
-    async def crash_primary_with_deaf_replica(self) -> None:
+    async def crash_primary_with_stalled_replica(self) -> None:
         """Let a replica receive nothing, then crash the primary for long."""
         replica = self._random_replica()
         record = self.begin("receives nothing", replica.name)
