Give callers 12 s after overlapping crashes, as the recovery bound says

The selection 'crashes' checked recovery as soon as the proxies were ready, at once after the last instance had returned. A change of primary may then still wait for killed proxies (up to 6.2 s). The bound of the users is 12 s, which the selection with restores already uses.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
@@ -156,8 +156,8 @@
                 violations += [f"recover: {name} is not ready" for name in late]
                 late = await fleet.wait_until_configured(CONFIGURATION_TIMEOUT_S)
                 violations += [f"configuration: {name} has an older" for name in late]
-                if selection is FaultSelection.RESTORED:
-                    # A change of primary may wait for members that the copy lacks.
+                if selection in (FaultSelection.RESTORED, FaultSelection.CRASHES):
+                    # A change of primary may wait for members that do not answer.
                     left_s = injected_until + RECOVERY_LIMIT_S - time.monotonic()
                     await anyio.sleep(max(left_s, 0.0))
                 recovered_at = time.monotonic()
