Write the records of groups and replica sets with one class

The writers of both were copies but for the prefix of their keys, and so were their protocols and their fakes in the tests. The two crashes of the soak are one function.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -20,6 +20,7 @@
 DURATION_RANGE_S = (0.3, 7.0)
 LINK_DELAY_S = 0.15
 LEAVING_DURATION_S = 5.0
+SHORT_CRASH_RANGE_S = (DURATION_RANGE_S[0], 4.0)
 # Longer than an endpoint without a registration stays in the proxies' lists.
 LONG_CRASH_RANGE_S = (5.0, 9.0)
 CRASH_DELAY_RANGE_S = (0.2, 1.5)  # from the last entry that a replica receives
@@ -232,17 +233,13 @@
     async def _crash(self, instance: FakeInstance) -> None:
         # While another instance is down or cut off, the crashed instance may hold
         # the only copy of a log entry, whose loss is not a fault of the proxies.
-        if not all(i.alive and not i.is_isolated for i in self.fleet.group.instances):
-            return
-        record = self.begin("crash", instance.name)
-        await instance.crash()
-        await self._wait_duration(4.0)
-        instance.restart()
-        self.end(record)
+        if all(i.alive and not i.is_isolated for i in self.fleet.group.instances):
+            await self._crash_and_restart(instance, SHORT_CRASH_RANGE_S)
 
     async def crash_any(self) -> None:
         """Crash an instance for long, whatever the state of the others."""
-        await self._crash_for_long(self.rng.choice(self.fleet.group.instances))
+        instance = self.rng.choice(self.fleet.group.instances)
+        await self._crash_and_restart(instance, LONG_CRASH_RANGE_S)
 
     async def crash_primary_with_stalled_replica(self) -> None:
         """Let a replica receive nothing, then crash the primary for long."""
@@ -250,16 +247,19 @@
         record = self.begin("receives nothing", replica.name)
         replica.is_isolated = True
         await anyio.sleep(self.rng.uniform(*CRASH_DELAY_RANGE_S))
-        await self._crash_for_long(self.fleet.group.primary)
+        await self._crash_and_restart(self.fleet.group.primary, LONG_CRASH_RANGE_S)
         replica.is_isolated = False
         self.end(record)
 
-    async def _crash_for_long(self, instance: FakeInstance) -> None:
+    async def _crash_and_restart(
+        self, instance: FakeInstance, range_s: tuple[float, float]
+    ) -> None:
+        """Crash an instance that runs, and restart it after a random time."""
         if not instance.alive:
             return
         record = self.begin("crash", instance.name)
         await instance.crash()
-        await anyio.sleep(self.rng.uniform(*LONG_CRASH_RANGE_S))
+        await anyio.sleep(self.rng.uniform(*range_s))
         instance.restart()
         self.end(record)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/context.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/context.py
@@ -13,8 +13,9 @@
 from rosemaryward.decisions.leadership.members import MemberDirectory, PeerChannel
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.replica_sets import ReplicaSets
+from rosemaryward.decisions.leadership.writer import RecordWriter
 
-__all__ = ["FailoverContext", "LockState", "RecordWriter"]
+__all__ = ["FailoverContext", "LockState"]
 
 
 class LockState(Protocol):
@@ -35,30 +36,6 @@
         """Return whether this process certainly holds the lock."""
 
 
-class RecordWriter(Protocol):
-    """Conditional writes of group records."""
-
-    async def write(self, group: str, record: GroupRecord, expected: int) -> int:
-        """Write a record and return its store revision.
-
-        Parameters
-        ----------
-        group : str
-            Group of the record.
-        record : GroupRecord
-            Record to write.
-        expected : int
-            Store revision of the record to replace, 0 if there must be none.
-
-        Raises
-        ------
-        ConflictError
-            If the record has another revision.
-        StoreError
-            If the store does not answer.
-        """
-
-
 class FailoverContext(msgspec.Struct, frozen=True, kw_only=True):
     """Objects that failure detection and changes of primary use.
 
@@ -102,7 +79,7 @@
     peers: PeerChannel
     control: EndpointControl
     promoter: Promoter
-    writer: RecordWriter
+    writer: RecordWriter[GroupRecord]
     confirmation: Confirmation
     refresh_members: Callable[[], Awaitable[None]]
     group_samples: Callable[[str], PositionSamples]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_sets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_sets.py
@@ -7,17 +7,16 @@
 """
 
 from collections.abc import Iterable, Mapping
-from typing import Protocol
 
 import msgspec
 import structlog
 
 from rosemaryward.decisions.gateway.environment import Endpoint
+from rosemaryward.decisions.leadership.writer import RecordWriter
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = [
     "ReplicaSetRecord",
-    "ReplicaSetWriter",
     "ReplicaSets",
     "count_uncertain",
     "merge_endpoints",
@@ -39,36 +38,12 @@
     endpoints: dict[str, str]
 
 
-class ReplicaSetWriter(Protocol):
-    """Conditional writes of replica sets."""
-
-    async def write(self, group: str, record: ReplicaSetRecord, expected: int) -> int:
-        """Write a replica set and return its store revision.
-
-        Parameters
-        ----------
-        group : str
-            Group of the replica set.
-        record : ReplicaSetRecord
-            Value to write.
-        expected : int
-            Store revision of the value to replace, 0 if there must be none.
-
-        Raises
-        ------
-        ConflictError
-            If the value has another revision.
-        StoreError
-            If the store does not answer.
-        """
-
-
 class ReplicaSets:
     """Replica sets of all groups, as last read from the store.
 
     Parameters
     ----------
-    writer : ReplicaSetWriter
+    writer : RecordWriter
         Writes the replica sets.
 
     Attributes
@@ -79,7 +54,7 @@
         Store revision of each of them, 0 for none.
     """
 
-    def __init__(self, writer: ReplicaSetWriter) -> None:
+    def __init__(self, writer: RecordWriter[ReplicaSetRecord]) -> None:
         self.writer = writer
         self.records: dict[str, ReplicaSetRecord] = {}
         self.revisions: dict[str, int] = {}
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -156,11 +156,11 @@
 
 
 class Writer:
-    """Conditional writes of the record of one group."""
+    """Conditional writes of one record of one group."""
 
-    def __init__(self):
+    def __init__(self, revision=1):
         self.records = []
-        self.revision = 1
+        self.revision = revision
 
     async def write(self, group, record, expected):
         if expected != self.revision:
@@ -170,20 +170,6 @@
         return self.revision
 
 
-class ReplicaSetWriter:
-    """Conditional writes of the replica set of one group."""
-
-    def __init__(self):
-        self.revision = 0
-
-    async def write(self, group, record, expected):
-        await anyio.lowlevel.checkpoint()
-        if expected != self.revision:
-            raise ConflictError(f"{expected} is not {self.revision}")
-        self.revision += 1
-        return self.revision
-
-
 def status(term, index, is_primary=False):
     return EndpointStatus(
         is_primary=is_primary,
@@ -220,7 +206,7 @@
         self.samples = PositionSamples()
         self.writer = Writer()
         self.store = MemoryStore()
-        self.replica_set_writer = ReplicaSetWriter()
+        self.replica_set_writer = Writer(revision=0)
         self.replica_sets = ReplicaSets(self.replica_set_writer)
         self.lock = Lock()
         self.confirmation = Confirmation(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/replication.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/replication.py
@@ -27,7 +27,6 @@
     Lock,
     MemoryStore,
     Peers,
-    ReplicaSetWriter,
     Writer,
     member,
 )
@@ -195,7 +194,7 @@
         self.clock = clock
         self.group = SimulatedGroup()
         self.writer = Writer()
-        self.replica_set_writer = ReplicaSetWriter()
+        self.replica_set_writer = Writer(revision=0)
         self.incarnations = itertools.count(1)
         self.record = make_record()
         self.replica_set = None
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -6,8 +6,6 @@
 import structlog
 
 from rosemaryward.decisions.errors import DocumentError
-from rosemaryward.decisions.leadership.records import GroupRecord
-from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord
 from rosemaryward.decisions.mirror import LeaseStore, StoredValue
 
 __all__ = [
@@ -18,9 +16,8 @@
     "GROUP_PREFIX",
     "MEMBER_PREFIX",
     "REPLICA_SET_PREFIX",
-    "GroupRecordWriter",
     "RecordSubscriber",
-    "StoreReplicaSetWriter",
+    "StoreRecordWriter",
 ]
 
 FLEET_PREFIX = "rosemaryward/"  # read at a fixed interval, so it must stay small
@@ -76,66 +73,29 @@
         self.on_removed(key.removeprefix(self.prefix))
 
 
-class GroupRecordWriter:
-    """Writes group records to the store.
+class StoreRecordWriter:
+    """Writes one record for each group to the store.
 
     Parameters
     ----------
     store : LeaseStore
         Client of the platform's store.
+    prefix : str
+        Prefix of the keys; the name of the group follows.
     """
 
-    def __init__(self, store: LeaseStore) -> None:
+    def __init__(self, store: LeaseStore, prefix: str) -> None:
         self.store = store
+        self.prefix = prefix
 
-    async def write(self, group: str, record: GroupRecord, expected: int) -> int:
+    async def write(self, group: str, record: msgspec.Struct, expected: int) -> int:
         """Write a record if its key has the expected revision.
 
         Parameters
         ----------
         group : str
             Name of the replication group.
-        record : GroupRecord
-            New value.
-        expected : int
-            Revision that the key must have, 0 if it must not exist.
-
-        Returns
-        -------
-        int
-            New revision.
-
-        Raises
-        ------
-        ConflictError
-            If the key has another revision.
-        StoreError
-            If the store does not answer.
-        """
-        value = msgspec.json.encode(record)
-        return await self.store.write(GROUP_PREFIX + group, value, expected)
-
-
-class StoreReplicaSetWriter:
-    """Writes replica sets to the store.
-
-    Parameters
-    ----------
-    store : LeaseStore
-        Client of the platform's store.
-    """
-
-    def __init__(self, store: LeaseStore) -> None:
-        self.store = store
-
-    async def write(self, group: str, record: ReplicaSetRecord, expected: int) -> int:
-        """Write a replica set if its key has the expected revision.
-
-        Parameters
-        ----------
-        group : str
-            Name of the replication group.
-        record : ReplicaSetRecord
+        record : msgspec.Struct
             New value.
         expected : int
             Revision that the key must have, 0 if it must not exist.
@@ -153,4 +113,4 @@
             If the store does not answer.
         """
         value = msgspec.json.encode(record)
-        return await self.store.write(REPLICA_SET_PREFIX + group, value, expected)
+        return await self.store.write(self.prefix + group, value, expected)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -69,9 +69,8 @@
     LIVENESS_PREFIX,
     MEMBER_PREFIX,
     REPLICA_SET_PREFIX,
-    GroupRecordWriter,
     RecordSubscriber,
-    StoreReplicaSetWriter,
+    StoreRecordWriter,
 )
 from rosemaryward.proxy.platform_registration import MemberRegistration
 from rosemaryward.proxy.platform_requests import MemberRequestHandler
@@ -135,8 +134,10 @@
         )
         self.promoter = PlatformPromoter(settings.promotion_address)
         self.peers = MemberClient()
-        self.record_writer = GroupRecordWriter(self.store)
-        self.replica_sets = ReplicaSets(StoreReplicaSetWriter(self.store))
+        self.record_writer = StoreRecordWriter(self.store, GROUP_PREFIX)
+        self.replica_sets = ReplicaSets(
+            StoreRecordWriter(self.store, REPLICA_SET_PREFIX)
+        )
         self.relay_client = RelayClient(settings.name, self.relay_selector)
         self.statement_pools = StatementPools(
             self.directory,
