List two holders of the failover lock as a known fault

Found by TestFleetLock in one run with six workers: a proxy whose watch has shown neither the record of a new holder nor its removal acquires the key that the store took back, and the first holder acts until its renewal fails, up to 2 s. The four steps are a test of their own, which fails as listed.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -224,6 +224,19 @@
 )
 
 
+async def test_lock_that_the_store_took_back_unseen_has_one_holder():
+    """Guards against a second holder that never saw the first one's record."""
+    store, clock = MemoryStore(), FakeClock()
+    first, second = (make_lock(store, clock, name) for name in ("proxy-2", "proxy-1"))
+    clock.now += 2.5
+    await step(first)
+    assert first.is_held()
+    del store.values[KEY]
+    store.revision += 1
+    await step(second)
+    assert not (first.is_held() and second.is_held())
+
+
 async def test_released_lock_is_not_acquired_again_by_the_same_process():
     """Guards against a process that takes the lock while it shuts down."""
     store, clock = MemoryStore(), FakeClock()
