Reserve the ports of the soak's proxies for its whole run

A port was only tried when it was picked, so another soak could take it while no proxy listened. A UDP socket on each port now reserves it.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
@@ -40,29 +40,33 @@
 LOAD_BALANCER_REMOVAL_S = 2.0  # two failed probes, one per second
 READY_TIMEOUT_S = 0.5
 HTTP_OK = 200
+PORTS_PER_PROXY = 5
 # With more, links between all of them take more descriptors than a process has.
 MAX_PROXIES_WITH_PEER_LINKS = 12
 
 
-def pick_ports(count: int, used_ports: set[int]) -> list[int]:
-    """Return consecutive free ports and add them to `used_ports`."""
+def reserve_ports(count: int) -> tuple[list[int], list[socket.socket]]:
+    """Return consecutive free TCP ports, with sockets that reserve them.
+
+    The proxies use TCP only, so a UDP socket on each port keeps other soaks on this
+    machine from picking it, also while no proxy listens.
+    """
     while True:
         first = random.randrange(*PORT_RANGE)
-        if used_ports.intersection(range(first, first + count)):
-            continue
-        sockets = [socket.socket() for _ in range(count)]
+        ports = list(range(first, first + count))
+        reservations: list[socket.socket] = []
         try:
-            for offset, item in enumerate(sockets):
-                item.bind(("127.0.0.1", first + offset))
+            for port in ports:
+                reservation = socket.socket(type=socket.SOCK_DGRAM)
+                reservations.append(reservation)
+                reservation.bind(("127.0.0.1", port))
+                with socket.socket() as probe:
+                    probe.bind(("127.0.0.1", port))
         except OSError:
+            for reservation in reservations:
+                reservation.close()
             continue
-        else:
-            ports = list(range(first, first + count))
-            used_ports.update(ports)
-            return ports
-        finally:
-            for item in sockets:
-                item.close()
+        return ports, reservations
 
 
 class Proxy:
@@ -74,11 +78,11 @@
         Node name, also used for its settings and log files.
     place : tuple of str
         Region and failure domain.
-    used_ports : set of int
-        Ports of other proxies; the ports of this one are added.
 
     Attributes
     ----------
+    reservations : list of socket.socket
+        Sockets that reserve its ports until the proxy object is gone.
     links : dict of str to Link
         Links from this proxy to the store, the instances and the other proxies.
     terminated_at : list of float
@@ -87,10 +91,10 @@
         Its processes, the present one last.
     """
 
-    def __init__(self, name: str, place: tuple[str, str], used_ports: set[int]) -> None:
+    def __init__(self, name: str, place: tuple[str, str]) -> None:
         self.name = name
         self.place = place
-        self.ports = pick_ports(5, used_ports)
+        self.ports, self.reservations = reserve_ports(PORTS_PER_PROXY)
         self.links: dict[str, Link] = {}
         self.child: Child | None = None
         self.starts = 0
@@ -204,10 +208,8 @@
         self.max_connections = max_connections
         self.store = FakeStore()
         self.group = FakeGroup(GROUP, PLACES, max_connections, mean_statement_s)
-        used_ports: set[int] = set()
         self.proxies = [
-            Proxy(f"proxy-{n}", PLACES[n % len(PLACES)], used_ports)
-            for n in range(proxies)
+            Proxy(f"proxy-{n}", PLACES[n % len(PLACES)]) for n in range(proxies)
         ]
         self.version = 0
         self.configuration = b""
