--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -92,6 +92,7 @@
             domain=endpoint.place.failure_domain,
             leaving=endpoint.leaving,
             claims_primary=endpoint.claims_primary,
+            started_at=endpoint.started_at,
         )
         pool = self.pools.get(endpoint.id)
         moved = known is not None and known.address != endpoint.address
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/environment.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/environment.py
@@ -90,6 +90,8 @@
     claims_primary : bool
         Whether it reports itself as the primary; the group's record is
         authoritative.
+    started_at : int
+        Unix time at which it started, in milliseconds, 0 if unknown.
     """
 
     id: str
@@ -99,6 +101,7 @@
     slots: int
     leaving: bool
     claims_primary: bool
+    started_at: int = 0
 
 
 class Environment(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -94,6 +94,7 @@
             "endpoint": best,
             "received": received.to_token(),
             "newest": max(positions.values()).to_token(),
+            "positions": {e: p.to_token() for e, p in sorted(positions.items())},
             "acknowledged": "" if acknowledged is None else acknowledged.to_token(),
             "reported": "" if reported is None else reported.to_token(),
             "silent": statuses.silent,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -342,25 +342,14 @@
 
     async def _promote(self, endpoint_id: str, record: GroupRecord) -> int | None:
         """Promote an endpoint and wait; return its term, None if it did not lead."""
-        deadline = self.clock() + PROMOTION_TIMEOUT_S
+        decided_at = self.clock()
+        deadline = decided_at + PROMOTION_TIMEOUT_S
         accepted = False
         while self.clock() < deadline:
             self._check_lock()
             try:
                 if not accepted:
-                    accepted = await self.context.promoter.promote(
-                        self.group,
-                        endpoint_id,
-                        self.context.lock.holder,
-                        self.context.lock.token,
-                    )
-                    log.info(
-                        "promotion called",
-                        group=self.group,
-                        endpoint=endpoint_id,
-                        token=self.context.lock.token,
-                        accepted=accepted,
-                    )
+                    accepted = await self._call_promotion(endpoint_id, decided_at)
                     if not accepted:
                         return None
                 status = await self.context.control.status(endpoint_id)
@@ -372,11 +361,45 @@
                 log.info(
                     "promotion attempt failed; retrying",
                     group=self.group,
+                    endpoint=endpoint_id,
+                    token=self.context.lock.token,
                     error=str(error),
                 )
                 await anyio.sleep(PROMOTION_RETRY_S)
+        log.warning(
+            "promoted endpoint does not lead",
+            group=self.group,
+            endpoint=endpoint_id,
+            accepted=accepted,
+            waited_s=round(self.clock() - decided_at, 3),
+        )
         return None
 
+    async def _call_promotion(self, endpoint_id: str, decided_at: float) -> bool:
+        """Call the promotion; return whether it was accepted, raise `StoreError`."""
+        token = self.context.lock.token
+        sent_at = self.clock()
+        # Without a later line for the token, the call may still take effect.
+        log.info(
+            "promotion call sent",
+            group=self.group,
+            endpoint=endpoint_id,
+            token=token,
+            decided_s=round(sent_at - decided_at, 3),
+        )
+        accepted = await self.context.promoter.promote(
+            self.group, endpoint_id, self.context.lock.holder, token
+        )
+        log.info(
+            "promotion called",
+            group=self.group,
+            endpoint=endpoint_id,
+            token=token,
+            accepted=accepted,
+            took_s=round(self.clock() - sent_at, 3),
+        )
+        return accepted
+
     async def _publish(self, record: GroupRecord, primary: _Promoted) -> None:
         """Write the record of the new primary and send it to the members."""
         self._check_lock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -249,6 +249,13 @@
             primary's log may lack the write.
         """
         if epoch < self.closed_epochs.get(group, 0):
+            log.info(
+                "acknowledgement rejected",
+                group=group,
+                epoch=epoch,
+                closed_epoch=self.closed_epochs[group],
+                confirmed_for_s=round(self.confirmation_left_s(), 3),
+            )
             return False
         if position is not None:
             known = self.acknowledged.get(group, LogPosition())
