--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -82,6 +82,8 @@
         Whether the old primary is assumed not to answer.
     candidates : CandidateSelector
         Selects the endpoint to promote.
+    pending : PendingPromotions
+        Promotion calls that may still take effect.
     """
 
     def __init__(
@@ -98,6 +100,7 @@
         self.revision = 0
         self.old_primary_silent = False
         self.candidates = CandidateSelector(group, context)
+        self.pending = context.leadership.pending_promotions
 
     async def run(self, reason: str, old_primary_silent: bool = False) -> None:
         """Replace the primary and publish the new one.
@@ -153,6 +156,7 @@
             serving=False,
             holder=self.context.lock.holder,
             term=known.term,
+            pending=tuple(self.pending.endpoints(self.group)),
         )
         self._check_lock()
         log.info(
@@ -161,6 +165,7 @@
             old=known.primary,
             epoch=record.epoch,
             reason=reason,
+            pending=record.pending,
             token=self.context.lock.token,
         )
         self.revision = await self.context.writer.write(
@@ -211,6 +216,7 @@
             if not status.is_primary:
                 continue
             is_promoted = 0 < record.term < status.term == newest_term
+            may_be_replaced = self.pending.others(self.group, endpoint_id)
             log.info(
                 "primary found",
                 group=self.group,
@@ -218,9 +224,11 @@
                 term=status.term,
                 last_term=record.term,
                 newest_term=newest_term,
-                adopted=is_promoted,
+                pending=may_be_replaced,
+                adopted=is_promoted and not may_be_replaced,
             )
-            if is_promoted:
+            if is_promoted and not may_be_replaced:
+                self.pending.resolve(self.group, endpoint_id)
                 return _Promoted(endpoint_id, status.term)
         return None
 
@@ -237,9 +245,9 @@
             self._check_lock()
             best = await self._find_candidate(record)
             if best is not None:
-                term = await self._promote(best, record)
-                if term is not None:
-                    return _Promoted(best, term)
+                promoted = await self._promote_or_wait(best, record)
+                if promoted is not None:
+                    return promoted
             if self.clock() - started_at > CONFIRMATION_VALIDITY_S:
                 raise ChangeAbandonedError(
                     f"{self.group}: expected a replica that is known to have every "
@@ -247,6 +255,22 @@
                 )
             await anyio.sleep(POSITION_RETRY_S)
 
+    async def _promote_or_wait(
+        self, endpoint_id: str, record: GroupRecord
+    ) -> _Promoted | None:
+        """Promote an endpoint, unless an earlier call may promote another one."""
+        others = self.pending.others(self.group, endpoint_id)
+        if others:
+            log.info(
+                "promotion waits for earlier calls",
+                group=self.group,
+                endpoint=endpoint_id,
+                pending=others,
+            )
+            return await self._find_promoted(record)
+        term = await self._promote(endpoint_id, record)
+        return None if term is None else _Promoted(endpoint_id, term)
+
     async def _find_candidate(self, record: GroupRecord) -> str | None:
         """Return the endpoint to promote, the old primary only if no other can be."""
         statuses = await self._stop_commits(record)
@@ -268,9 +292,12 @@
         self, statuses: EndpointStatuses, record: GroupRecord, old_primary: bool = False
     ) -> str | None:
         """Return the old primary, or another endpoint, if it has all commits."""
-        eligible = [
-            e for e in statuses.answered if (e == record.primary) is old_primary
-        ]
+        pending = self.pending.endpoints(self.group)
+        # A pending call prevents the promotion of others, so its endpoint goes first.
+        eligible = sorted(
+            (e for e in statuses.answered if (e == record.primary) is old_primary),
+            key=lambda e: e not in pending,
+        )
         reported = self.acknowledged if self.all_members_fenced else None
         return self.candidates.choose(statuses, eligible, reported)
 
@@ -342,6 +369,7 @@
 
     async def _promote(self, endpoint_id: str, record: GroupRecord) -> int | None:
         """Promote an endpoint and wait; return its term, None if it did not lead."""
+        await self._announce_promotion(endpoint_id, record)
         decided_at = self.clock()
         deadline = decided_at + PROMOTION_TIMEOUT_S
         accepted = False
@@ -351,10 +379,12 @@
                 if not accepted:
                     accepted = await self._call_promotion(endpoint_id, decided_at)
                     if not accepted:
+                        self.pending.resolve(self.group, endpoint_id)
                         return None
                 status = await self.context.control.status(endpoint_id)
                 # One that was replaced earlier leads its own term until then.
                 if status.is_primary and status.term >= record.term:
+                    self.pending.resolve(self.group, endpoint_id)
                     return status.term
                 await anyio.sleep(STATUS_POLL_INTERVAL_S)
             except RosemarywardError as error:
@@ -375,11 +405,21 @@
         )
         return None
 
+    async def _announce_promotion(self, endpoint_id: str, record: GroupRecord) -> None:
+        """Name an endpoint in the record before its promotion is called."""
+        if endpoint_id in self.context.leadership.records[self.group].pending:
+            return
+        pending = self.pending.endpoints(self.group)
+        announced = msgspec.structs.replace(record, pending=(*pending, endpoint_id))
+        self.revision = await self.context.writer.write(
+            self.group, announced, self.revision
+        )
+        self.context.leadership.observe(self.group, announced, self.revision)
+
     async def _call_promotion(self, endpoint_id: str, decided_at: float) -> bool:
         """Call the promotion; return whether it was accepted, raise `StoreError`."""
         token = self.context.lock.token
         sent_at = self.clock()
-        # Without a later line for the token, the call may still take effect.
         log.info(
             "promotion call sent",
             group=self.group,
@@ -387,9 +427,10 @@
             token=token,
             decided_s=round(sent_at - decided_at, 3),
         )
-        accepted = await self.context.promoter.promote(
-            self.group, endpoint_id, self.context.lock.holder, token
-        )
+        with self.pending.track_call(self.group, endpoint_id):
+            accepted = await self.context.promoter.promote(
+                self.group, endpoint_id, self.context.lock.holder, token
+            )
         log.info(
             "promotion called",
             group=self.group,
@@ -409,6 +450,7 @@
             serving=True,
             holder=self.context.lock.holder,
             term=primary.term,
+            pending=tuple(self.pending.endpoints(self.group)),
         )
         others = [e for e in self._endpoint_ids() if e != primary.endpoint_id]
         revision = await self.context.writer.write(self.group, serving, self.revision)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -8,6 +8,7 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.leadership.pending_promotions import PendingPromotions
 from rosemaryward.decisions.mirror.store import generation_of
 from rosemaryward.decisions.types import LogPosition
 
@@ -42,6 +43,8 @@
     term : int
         Term of the last primary that served, 0 if unknown. An endpoint that leads a
         later term was promoted after it.
+    pending : tuple of str
+        Endpoints for which a promotion was called and may still take effect.
     """
 
     epoch: int
@@ -49,6 +52,7 @@
     serving: bool
     holder: str
     term: int = 0
+    pending: tuple[str, ...] = ()
 
 
 class Leadership:
@@ -84,6 +88,8 @@
         Boot time at which each running write of each group was sent.
     acknowledged : dict of str to LogPosition
         Newest log position of an acknowledged write of each group.
+    pending_promotions : PendingPromotions
+        Promotion calls that may still take effect.
     changing_since : dict of str to float
         Boot time at which a running change of primary was first seen, by group.
     write_ended : anyio.Event
@@ -102,6 +108,7 @@
         "confirmed_at",
         "fence_epochs",
         "generation",
+        "pending_promotions",
         "records",
         "revisions",
         "running_writes",
@@ -114,6 +121,7 @@
         self.revisions: dict[str, int] = {}
         self.fence_epochs: dict[str, int] = {}
         self.closed_epochs: dict[str, int] = {}
+        self.pending_promotions = PendingPromotions(clock)
         self.changing_since: dict[str, float] = {}
         self.running_writes: dict[str, dict[object, float]] = {}
         self.write_ended = anyio.Event()
@@ -134,7 +142,10 @@
         if is_latest_write:
             self.revisions[group] = revision
         known = self.records.get(group)
-        if known is not None and _order(record) <= _order(known):
+        is_update = (
+            known is not None and is_latest_write and _order(record) == _order(known)
+        )
+        if known is not None and _order(record) <= _order(known) and not is_update:
             if is_latest_write and _order(record) < _order(known):
                 log.warning(
                     "older primary record in the store",
@@ -149,6 +160,7 @@
                 self.closed_epochs.get(group, 0), record.epoch
             )
         self.records[group] = record
+        self.pending_promotions.observe(group, record.pending)
         self._track_change(group)
         log.info(
             "primary record observed",
@@ -157,6 +169,7 @@
             epoch=record.epoch,
             serving=record.serving,
             holder=record.holder,
+            pending=record.pending,
             revision=revision,
         )
         for notify in self.change_listeners:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -40,7 +40,11 @@
     run = ChangeScenario(statuses)
     await run.run()
     assert run.promoter.calls == [(expected, "proxy-1", 7)]
-    assert [r.serving for r in run.writer.records] == [False, True]
+    assert [(r.serving, r.pending) for r in run.writer.records] == [
+        (False, ()),
+        (False, (expected,)),
+        (True, ()),
+    ]
     assert run.leadership.records[GROUP].primary == expected
 
 
@@ -252,7 +256,7 @@
     """Guards against a later change that cannot tell which primary is the newest."""
     run = ChangeScenario({"i-2": status(1, 5), "i-3": status(1, 5)})
     await run.run()
-    assert [record.term for record in run.writer.records] == [1, 2]
+    assert [record.term for record in run.writer.records] == [1, 1, 2]
 
 
 async def test_lost_lock_ends_the_change():
@@ -277,7 +281,7 @@
     run.promoter.promote = promote_and_interfere
     with pytest.raises(change_module.RosemarywardError):
         await run.run()
-    assert [r.serving for r in run.writer.records] == [False]
+    assert [r.serving for r in run.writer.records] == [False, False]
 
 
 async def test_fence_covers_a_member_that_restarted():
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -132,7 +132,7 @@
         self.endpoint_prober = EndpointProber(
             self.directory, self.group_control, self.relay_selector.is_relay
         )
-        self.promoter = PlatformPromoter(settings.promotion_address)
+        self.promoter = PlatformPromoter(settings.promotion_address, self._may_promote)
         self.peers = MemberClient()
         self.record_writer = StoreRecordWriter(self.store, GROUP_PREFIX)
         self.replica_sets = ReplicaSets(
@@ -473,6 +473,10 @@
         configured = self.environment.groups.get(group)
         return 0 if configured is None else configured.sync_replicas
 
+    def _may_promote(self, token: int) -> bool:
+        """Return whether this process certainly holds the lock under a token."""
+        return self.failover_lock.is_held() and self.failover_lock.token == token
+
     async def _request_release(self, name: str, token: int) -> bool:
         """Return whether the named member no longer acts under a fencing token."""
         member = self.members.members.get(name)
