--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -258,15 +258,16 @@
         Returns
         -------
         bool
-            False if the primary was replaced in the meantime, so that the new
-            primary's log may lack the write.
+            False if the primary was replaced in the meantime, or may have been, so
+            that the new primary's log may lack the write.
         """
-        if epoch < self.closed_epochs.get(group, 0):
+        closed_epoch = self.closed_epochs.get(group, 0)
+        if epoch < closed_epoch or not self._is_confirmed(epoch):
             log.info(
                 "acknowledgement rejected",
                 group=group,
                 epoch=epoch,
-                closed_epoch=self.closed_epochs[group],
+                closed_epoch=closed_epoch,
                 confirmed_for_s=round(self.confirmation_left_s(), 3),
             )
             return False
@@ -301,15 +302,15 @@
     def primary(self, group: str) -> GroupRecord | None:
         """Return the record of a group whose primary may be used now, or None."""
         record = self.records.get(group)
-        if record is None or not record.serving or not self._is_confirmed(record):
+        if record is None or not record.serving or not self._is_confirmed(record.epoch):
             return None
         if record.epoch < self.fence_epochs.get(group, 0):
             return None
         return record
 
-    def _is_confirmed(self, record: GroupRecord) -> bool:
-        """Return whether a read of the record's own generation confirms it."""
-        generation = record.epoch >> EPOCH_BITS
+    def _is_confirmed(self, epoch: int) -> bool:
+        """Return whether a read of an epoch's own generation confirms its record."""
+        generation = epoch >> EPOCH_BITS
         confirmed_at = self.confirmations.get(generation, float("-inf"))
         return self.clock() < confirmed_at + CONFIRMATION_VALIDITY_S
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
@@ -42,6 +42,7 @@
     def __init__(self):
         self.leadership = Leadership()
         self.leadership.observe(GROUP, make_record(), 1)
+        self.leadership.confirm(self.leadership.clock())
         self.leadership.acknowledge(GROUP, 1, LogPosition(1, 7))
         members = MemberDirectory()
         for revision, name in enumerate(("proxy-2", "proxy-3"), 1):
