--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -62,6 +62,8 @@
         Boot time at which an endpoint's registration was removed, in seconds.
     pools : dict of str to EndpointPool
         Pools for direct connections.
+    outdated_at : float
+        Boot time at which registrations were last known to be out of date.
     """
 
     def __init__(
@@ -76,6 +78,15 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.unregistered_since: dict[str, float] = {}
         self.pools: dict[str, EndpointPool] = {}
+        self.outdated_at = float("-inf")
+
+    def mark_outdated(self) -> None:
+        """Record that registrations may have changed unseen, as in a store outage."""
+        self.outdated_at = self.clock()
+
+    def may_lack_endpoints(self) -> bool:
+        """Return whether a running endpoint may not be registered yet."""
+        return self.clock() < self.outdated_at + REGISTRATION_GRACE_S
 
     def observe(self, endpoint: Endpoint) -> None:
         """Add an endpoint or apply its changed registration."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -77,6 +77,12 @@
         self.position = LogPosition()
         self.target: Target | None = None
 
+    def writes(self, statement: Statement) -> bool:
+        """Return whether a statement writes."""
+        if statement.kind is StatementKind.EXECUTE:
+            return self.prepared[statement.name].writes
+        return statement.kind is StatementKind.WRITE
+
 
 class StatementRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Statement with the conditions that determine its target and its deadline.
@@ -454,12 +460,14 @@
         attempt_s = remaining_s if writes else remaining_s * READ_ATTEMPT_SHARE
         sent = False
         sent_at = now
+        position_before = LogPosition()
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
                 name = await self.prepare(request.statement, session, pooled)
                 self.check_still_primary(request.route.group, target)
                 sent = True
                 sent_at = self.clock()
+                position_before = self.newest_position(request.route.group)
                 admission = self.admission_parameters(
                     request, session, target, attempt_s
                 )
@@ -478,7 +486,11 @@
                 raise RetryError(reason) from error
             raise RetryError(reason, self.clock()) from error
         self.selector.record_answer(target, sent_at, answer)
-        return self._check_answer(request, target, answer)
+        return self._check_answer(request, target, answer, position_before)
+
+    def newest_position(self, group: str) -> LogPosition:
+        """Return the newest position that the primary's log is known to have."""
+        return self.selector.group_samples(group).newest
 
     async def prepare(
         self, statement: Statement, session: SessionContext, pooled: PooledConnection
@@ -534,7 +546,11 @@
             )
 
     def _check_answer(
-        self, request: StatementRequest, target: Target, answer: Answer
+        self,
+        request: StatementRequest,
+        target: Target,
+        answer: Answer,
+        position_before: LogPosition,
     ) -> Answer:
         """Return a successful answer; raise the error for a failed one."""
         failure = answer.failure
@@ -542,7 +558,7 @@
         if failure is None:
             if request.writes:
                 self.record_acknowledgement(
-                    request.route.group, target, answer.position
+                    request.route.group, target, answer.position, position_before
                 )
             return answer
         if failure is Failure.BEHIND:
@@ -557,7 +573,11 @@
         raise StatementFailedError(failure, answer.reason, endpoint)
 
     def record_acknowledgement(
-        self, group: str, target: Target, position: LogPosition | None
+        self,
+        group: str,
+        target: Target,
+        position: LogPosition | None,
+        position_before: LogPosition,
     ) -> None:
         """Record the position of an acknowledged write.
 
@@ -569,6 +589,8 @@
             Target that answered.
         position : LogPosition or None
             Position in the answer.
+        position_before : LogPosition
+            Position that the primary's log had before the write was sent.
 
         Raises
         ------
@@ -578,7 +600,9 @@
         if target.record is None:
             return
         epoch = target.record.epoch
-        if not self.selector.leadership.acknowledge(group, epoch, position):
+        if not self.selector.leadership.acknowledge(
+            group, epoch, position, position_before
+        ):
             raise StatementFailedError(
                 Failure.IN_DOUBT,
                 f"the primary of epoch {epoch} was replaced before its answer arrived",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -356,9 +356,7 @@
         """Return whether the statement, or its transaction, may write."""
         if transaction is not None:
             return not transaction.read_only
-        if statement.kind is StatementKind.EXECUTE:
-            return self.context.prepared[statement.name].writes
-        return statement.kind is StatementKind.WRITE
+        return self.context.writes(statement)
 
     def _record_commit(self, answer: Answer) -> None:
         """Record the position of the session's newest commit."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -26,6 +26,7 @@
 )
 from rosemaryward.decisions.gateway.statements import StatementKind
 from rosemaryward.decisions.gateway.targets import Target
+from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["Transaction"]
 
@@ -56,6 +57,8 @@
         Whether it can only be rolled back.
     admitted : bool
         Whether its first statement has entered the admission queue.
+    wrote : bool
+        Whether a write was sent in it.
     pooled : PooledConnection or None
         Connection that it is pinned to, None before it is opened and after its end.
     target : Target or None
@@ -77,6 +80,7 @@
         self.began_at = began_at
         self.failed = False
         self.admitted = False
+        self.wrote = False
         self.pooled: PooledConnection | None = None
         self.target: Target | None = None
 
@@ -165,6 +169,7 @@
         commits = statement.kind is StatementKind.COMMIT
         sent = False
         sent_at = self.executor.clock()
+        position_before = LogPosition()
         remaining_s = max(request.expires_at - self.executor.clock(), 0.0)
         try:
             async with self._first_statement_slot(target, request):
@@ -172,6 +177,8 @@
                     name = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
                     sent_at = self.executor.clock()
+                    position_before = self.executor.newest_position(self.route.group)
+                    self.wrote |= self.session.writes(statement)
                     admission = self.executor.admission_parameters(
                         request, self.session, target, remaining_s
                     )
@@ -194,8 +201,12 @@
                 self.endpoint,
             )
         if commits and not self.read_only:
+            # Without a write, no entry is committed that a new primary must have.
             self.executor.record_acknowledgement(
-                self.route.group, target, answer.position
+                self.route.group,
+                target,
+                answer.position if self.wrote else None,
+                position_before,
             )
         return answer
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -60,6 +60,7 @@
         statuses: EndpointStatuses,
         eligible: Sequence[str],
         reported: LogPosition | None,
+        committed: LogPosition,
     ) -> str | None:
         """Return the endpoint to promote, None if none surely has all commits.
 
@@ -73,6 +74,8 @@
         reported : LogPosition or None
             Newest position that all members have seen acknowledged, None if some
             have not answered.
+        committed : LogPosition
+            Position that a write which a member has seen acknowledged has at least.
         """
         candidates = {
             endpoint_id: statuses.answered[endpoint_id].received
@@ -89,7 +92,10 @@
         tolerated = self.context.tolerated_logs(self.group)
         acknowledged = self._newest_acknowledged(reported)
         has_all_acknowledged = acknowledged is not None and received >= acknowledged
-        is_chosen = uncertain <= tolerated or has_all_acknowledged
+        # An endpoint that has started just now may hold commits and not be known yet.
+        may_lack_endpoints = self.context.directory.may_lack_endpoints()
+        is_counted = uncertain <= tolerated and not may_lack_endpoints
+        is_chosen = received >= committed and (is_counted or has_all_acknowledged)
         decision = {
             "endpoint": best,
             "received": received.to_token(),
@@ -97,10 +103,12 @@
             "positions": {e: p.to_token() for e, p in sorted(positions.items())},
             "acknowledged": "" if acknowledged is None else acknowledged.to_token(),
             "reported": "" if reported is None else reported.to_token(),
+            "committed": committed.to_token(),
             "silent": statuses.silent,
             "replica_set": sorted(replica_set),
             "uncertain": uncertain,
             "tolerated": tolerated,
+            "may_lack_endpoints": may_lack_endpoints,
             "chosen": is_chosen,
         }
         if decision != self.last_decision:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -74,6 +74,8 @@
     ----------
     acknowledged : LogPosition
         Newest position of an acknowledged write, as reported by fenced members.
+    committed : LogPosition
+        Position that an acknowledged write has at least, as reported likewise.
     all_members_fenced : bool
         Whether every member that may use primaries has answered the fence.
     revision : int
@@ -96,6 +98,7 @@
         self.context = context
         self.clock = clock
         self.acknowledged = LogPosition()
+        self.committed = LogPosition()
         self.all_members_fenced = False
         self.revision = 0
         self.old_primary_silent = False
@@ -192,6 +195,7 @@
         )
         self._check_lock()
         self.acknowledged = fence.acknowledged
+        self.committed = fence.committed
         self.all_members_fenced = all_known and all_answered
         if not all_answered:
             log.warning(
@@ -299,7 +303,7 @@
             key=lambda e: e not in pending,
         )
         reported = self.acknowledged if self.all_members_fenced else None
-        return self.candidates.choose(statuses, eligible, reported)
+        return self.candidates.choose(statuses, eligible, reported, self.committed)
 
     async def _stop_commits(self, record: GroupRecord) -> EndpointStatuses:
         """Ensure that the old primary confirms no more commits; read the statuses."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
@@ -190,7 +190,8 @@
         if self._is_fenced(request) or not self._is_changing(request):
             return
         position = await self.leadership.fence_and_drain(request.group, request.epoch)
-        replies = [FenceReply(self.incarnation, position)]
+        committed = self.leadership.committed_position(request.group)
+        replies = [FenceReply(self.incarnation, position, committed)]
         async with anyio.create_task_group() as tasks:
             for member in self._members_to_ask():
                 tasks.start_soon(self._ask, member, request, replies)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
@@ -47,6 +47,8 @@
     ----------
     acknowledged : LogPosition
         Newest position of an acknowledged write, as reported by fenced members.
+    committed : LogPosition
+        Newest position that an acknowledged write has at least, reported likewise.
     fenced : set of str
         Incarnations of the processes that have stopped.
     confirmed : anyio.Event
@@ -69,6 +71,7 @@
         self.is_active = is_active
         self.clock = clock
         self.acknowledged = LogPosition()
+        self.committed = LogPosition()
         self.fenced: set[str] = set()
         self.confirmed = anyio.Event()
 
@@ -147,5 +150,6 @@
     def _record(self, reply: FenceReply) -> None:
         self.fenced.add(reply.incarnation)
         self.acknowledged = max(self.acknowledged, reply.acknowledged)
+        self.committed = max(self.committed, reply.committed)
         self.confirmed.set()
         self.confirmed = anyio.Event()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -90,11 +90,14 @@
     incarnation : str
         Process that answered.
     acknowledged : LogPosition
-        Newest log position of a write that the member saw acknowledged.
+        Newest log position of a write that the member saw acknowledged, at most.
+    committed : LogPosition
+        Log position that a write that the member saw acknowledged has at least.
     """
 
     incarnation: str
     acknowledged: LogPosition
+    committed: LogPosition = LogPosition()
 
 
 class ReachabilityRequest(msgspec.Struct, frozen=True, tag="reach"):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -87,7 +87,10 @@
     running_writes : dict of str to dict
         Boot time at which each running write of each group was sent.
     acknowledged : dict of str to LogPosition
-        Newest log position of an acknowledged write of each group.
+        Newest log position of an acknowledged write of each group, at most that of
+        the primary's newest entry when it answered.
+    committed : dict of str to LogPosition
+        Log position that an acknowledged write of each group has at least.
     pending_promotions : PendingPromotions
         Promotion calls that may still take effect.
     changing_since : dict of str to float
@@ -104,6 +107,7 @@
         "changing_since",
         "clock",
         "closed_epochs",
+        "committed",
         "confirmations",
         "confirmed_at",
         "fence_epochs",
@@ -126,6 +130,7 @@
         self.running_writes: dict[str, dict[object, float]] = {}
         self.write_ended = anyio.Event()
         self.acknowledged: dict[str, LogPosition] = {}
+        self.committed: dict[str, LogPosition] = {}
         self.generation = 0
         self.confirmed_at = float("-inf")
         self.confirmations: dict[int, float] = {}
@@ -252,9 +257,26 @@
         running = self.running_writes.get(group)
         return self.clock() - min(running.values()) if running else 0.0
 
-    def acknowledge(self, group: str, epoch: int, position: LogPosition | None) -> bool:
+    def acknowledge(
+        self,
+        group: str,
+        epoch: int,
+        position: LogPosition | None,
+        position_before: LogPosition | None = None,
+    ) -> bool:
         """Record an acknowledged write.
 
+        Parameters
+        ----------
+        group : str
+            Group of the write.
+        epoch : int
+            Epoch of the primary that answered.
+        position : LogPosition or None
+            Position of the primary's newest entry when it answered.
+        position_before : LogPosition, optional
+            A position that the primary's log had before the write was sent.
+
         Returns
         -------
         bool
@@ -274,8 +296,23 @@
         if position is not None:
             known = self.acknowledged.get(group, LogPosition())
             self.acknowledged[group] = max(known, position)
+            self._record_commit(group, position, position_before)
         return True
 
+    def _record_commit(
+        self, group: str, position: LogPosition, position_before: LogPosition | None
+    ) -> None:
+        """Record the least position that an acknowledged write can have."""
+        if position_before is None or position_before.term != position.term:
+            return
+        least = LogPosition(position.term, position_before.index + 1)
+        known = self.committed.get(group, LogPosition())
+        self.committed[group] = max(known, least)
+
+    def committed_position(self, group: str) -> LogPosition:
+        """Return a position that an acknowledged write of a group has at least."""
+        return self.committed.get(group, LogPosition())
+
     def change_age_s(self, group: str) -> float | None:
         """Return for how many seconds a change of primary runs, None without one."""
         since = self.changing_since.get(group)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -133,6 +133,7 @@
 
     def __init__(self):
         self.fenced = {}
+        self.committed = {}
         self.incarnations = {}  # of processes that are not registered yet
         self.confirmations = {}
         self.sent_records = []
@@ -146,7 +147,8 @@
         if member.name not in self.fenced:
             raise PeerError(f"{member.name} is unreachable")
         incarnation = self.incarnations.get(member.name, member.incarnation)
-        return FenceReply(incarnation, self.fenced[member.name])
+        committed = self.committed.get(member.name, LogPosition())
+        return FenceReply(incarnation, self.fenced[member.name], committed)
 
     async def request_confirmation(self, member, request):
         await anyio.lowlevel.checkpoint()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_acknowledgements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_acknowledgements.py
@@ -22,3 +22,20 @@
         await anyio.sleep(CONFIRMATION_VALIDITY_S + 0.1)
         acknowledged = leadership.acknowledge(GROUP, 1, LogPosition(1, 9))
     assert not acknowledged
+
+
+@pytest.mark.parametrize(
+    ("before", "committed"),
+    [
+        pytest.param(LogPosition(2, 5), LogPosition(2, 6), id="same-term"),
+        pytest.param(LogPosition(1, 8), LogPosition(), id="earlier-term"),
+        pytest.param(None, LogPosition(), id="unknown"),
+    ],
+)
+async def test_acknowledged_write_comes_after_the_position_before_it(before, committed):
+    """Guards against a position that the acknowledged write may not have."""
+    leadership = Leadership(anyio.current_time)
+    leadership.observe(GROUP, make_record(), 1)
+    leadership.confirm(anyio.current_time())
+    assert leadership.acknowledge(GROUP, 1, LogPosition(2, 9), before)
+    assert leadership.committed_position(GROUP) == committed
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -150,6 +150,38 @@
     assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
 
 
+@pytest.mark.parametrize(
+    ("received", "registered_late", "promoted"),
+    [
+        pytest.param(4, None, [], id="only-unknown-endpoint-has-it"),
+        pytest.param(4, 6, ["i-9"], id="unknown-endpoint-registers"),
+        pytest.param(5, None, ["i-2"], id="candidate-has-it"),
+    ],
+)
+async def test_replica_without_a_reported_commit_is_not_promoted(
+    received, registered_late, promoted
+):
+    """Guards against losing commits that an endpoint outside the replica set has."""
+    run = ChangeScenario({"i-2": status(1, received), "i-3": status(1, received)})
+    run.peers.fenced = {"proxy-1": LogPosition(1, 6), "proxy-2": LogPosition()}
+    run.peers.committed = {"proxy-1": LogPosition(1, 5)}
+    if registered_late is not None:
+        run.control.statuses["i-9"] = status(1, registered_late)
+        run.directory.observe(make_endpoint("i-9", FAR, address="10.0.9.9:1"))
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run(old_primary_silent=True)
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
+
+
+async def test_replica_is_not_promoted_while_new_endpoints_may_be_unregistered():
+    """Guards against counting logs right after an outage of the store."""
+    run = ChangeScenario({"i-2": status(1, 4), "i-3": status(1, 4)})
+    run.directory.mark_outdated()
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run(old_primary_silent=True)
+    assert run.promoter.calls == []
+
+
 async def test_new_process_at_a_members_address_reports_the_end_of_the_old_one():
     """Guards against trusting a reply that lacks what an ended process had seen."""
     run = ChangeScenario({"i-2": status(1, 4)})
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -90,6 +90,7 @@
 
 # A database that a configuration has added must be served 3 s later at the latest.
 CONFIGURATION_MAX_AGE_S = 2.5
+REGISTRATIONS_MAX_AGE_S = 2.0  # the store is read every 1.5 s
 CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -555,6 +556,8 @@
         """Remove expired endpoints, and end sessions while records are unconfirmed."""
         while True:
             await anyio.sleep(CLEANUP_INTERVAL_S)
+            if self.mirror.age_s() > REGISTRATIONS_MAX_AGE_S:
+                self.directory.mark_outdated()
             self.directory.remove_expired()
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
@@ -81,7 +81,8 @@
             position = await self.leadership.fence_and_drain(
                 request.group, request.epoch
             )
-            return FenceReply(self.incarnation, position)
+            committed = self.leadership.committed_position(request.group)
+            return FenceReply(self.incarnation, position, committed)
         if isinstance(request, ConfirmationRequest):
             return self.confirmation.reply(request)
         if isinstance(request, ReleaseRequest):
