--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
@@ -264,9 +264,12 @@
     """Find fencing tokens that two holders used."""
     holders: dict[str, str] = {}
     violations = []
-    for holder, token, _ in group.promotions:
-        if holders.setdefault(token, holder) != holder:
-            violations.append(f"one: {holder} and {holders[token]} used token {token}")
+    for call in group.promotions:
+        holder = holders.setdefault(call.token, call.holder)
+        if holder != call.holder:
+            violations.append(
+                f"one: {call.holder} and {holder} used token {call.token}"
+            )
     return violations
 
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
@@ -7,6 +7,7 @@
     FakeGroup,
     LogEntry,
     PromotedLog,
+    PromotionCall,
 )
 
 PLACES = [("north", "a"), ("south", "b")]
@@ -160,7 +161,10 @@
 def test_token_of_two_holders_is_found():
     """Guards against a soak that misses two holders of one fencing token."""
     group = make_group()
-    group.promotions = [("proxy-1", "7", 1.0), ("proxy-2", "7", 2.0)]
+    group.promotions = [
+        PromotionCall("proxy-1", "7", "i-1", 1.0),
+        PromotionCall("proxy-2", "7", "i-1", 2.0),
+    ]
     assert check([], group, MAX_STALENESS_S) == [
         "one: proxy-2 and proxy-1 used token 7"
     ]
