--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/command.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/command.py
@@ -15,6 +15,11 @@
 __all__ = ["SoakCommand"]
 
 CALLERS_PER_PROXY = 4
+# The same times as in the logs of the proxies, so that all can be merged.
+LOG_PROCESSORS = (
+    structlog.processors.TimeStamper(key="at"),
+    structlog.processors.JSONRenderer(),
+)
 
 
 @cappa.command(name="soak")
@@ -49,7 +54,8 @@
             folder = Path(tempfile.mkdtemp(prefix=f"rosemaryward-soak-{seed}-"))
             with (folder / "soak.log").open("w") as log_file:
                 structlog.configure(
-                    logger_factory=structlog.PrintLoggerFactory(log_file)
+                    processors=LOG_PROCESSORS,
+                    logger_factory=structlog.PrintLoggerFactory(log_file),
                 )
                 result = anyio.run(self._run, seed, folder)
             failed_soaks += bool(result.violations or result.dropped)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -16,7 +16,7 @@
 
 __all__ = ["FaultRecord", "Faults"]
 
-PAUSE_RANGE_S = (0.2, 1.8)  # from the start of one fault to the start of the next
+PAUSE_RANGE_S = (0.2, 1.8)
 DURATION_RANGE_S = (0.3, 7.0)
 LINK_DELAY_S = 0.15
 LEAVING_DURATION_S = 5.0
@@ -57,12 +57,18 @@
         Proxies, stand-ins and links that the faults affect.
     rng : random.Random
         Selects kinds, targets and times of the faults.
+
+    Attributes
+    ----------
+    pause_range_s : tuple of float
+        Seconds from the start of one fault to the start of the next.
     """
 
     def __init__(self, fleet: Fleet, rng: random.Random) -> None:
         self.fleet = fleet
         self.rng = rng
         self.records: list[FaultRecord] = []
+        self.pause_range_s = PAUSE_RANGE_S
         self.kinds: list[Callable[[], Coroutine[Any, Any, None]]] = [
             self.terminate,
             self.terminate_several,
@@ -105,7 +111,7 @@
         async with anyio.create_task_group() as tasks:
             while time.monotonic() < until:
                 tasks.start_soon(self.rng.choice(self.kinds))
-                await anyio.sleep(self.rng.uniform(*PAUSE_RANGE_S))
+                await anyio.sleep(self.rng.uniform(*self.pause_range_s))
 
     def begin(self, kind: str, target: str, planned: bool = False) -> FaultRecord:
         """Record and log the start of a fault."""
@@ -161,7 +167,10 @@
 
     async def suspend(self) -> None:
         """Suspend a proxy process and resume it later."""
-        proxy = self._random_proxy()
+        await self.suspend_proxy(self._random_proxy())
+
+    async def suspend_proxy(self, proxy: Proxy) -> None:
+        """Suspend the process of a proxy and resume it later."""
         record = self.begin("freeze", proxy.name)
         proxy.send_signal(signal.SIGSTOP)
         await self._wait_duration()
@@ -179,7 +188,7 @@
         instance = self.rng.choice(self.fleet.group.instances)
         count = self.rng.randrange(1, len(self.fleet.proxies) + 1)
         chosen = self.rng.sample(self.fleet.proxies, k=count)
-        await self._disturb([proxy.links[instance.name] for proxy in chosen])
+        await self._disturb([proxy.links[instance.label] for proxy in chosen])
 
     async def disturb_peer_links(self) -> None:
         """Disturb the links from one proxy to the others."""
@@ -227,8 +236,11 @@
         await self._crash(self._random_replica())
 
     def _random_replica(self) -> FakeInstance:
+        return self.rng.choice(self._replicas())
+
+    def _replicas(self) -> list[FakeInstance]:
         group = self.fleet.group
-        return self.rng.choice([i for i in group.instances if i is not group.primary])
+        return [i for i in group.instances if i is not group.primary]
 
     async def _crash(self, instance: FakeInstance) -> None:
         # While another instance is down or cut off, the crashed instance may hold
@@ -260,9 +272,12 @@
         record = self.begin("crash", instance.name)
         await instance.crash()
         await anyio.sleep(self.rng.uniform(*range_s))
-        instance.restart()
+        self._restart(instance)
         self.end(record)
 
+    def _restart(self, instance: FakeInstance) -> None:
+        instance.restart()
+
     async def isolate_primary(self) -> None:
         """Cut the primary off from its replicas."""
         leader = self.fleet.group.primary
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/fleet.py
@@ -11,6 +11,7 @@
 
 import anyio
 import httpx
+import msgspec
 from anyio.abc import TaskGroup
 
 from rosemaryward.bench.launch.processes import Child, start_child
@@ -22,10 +23,11 @@
     REGISTRATION_PREFIX,
 )
 from rosemaryward.platform.fakes.documents import encode_configuration, encode_settings
-from rosemaryward.platform.fakes.group import FakeGroup, FakeInstance
-from rosemaryward.platform.fakes.store import FakeStore
+from rosemaryward.platform.fakes.group import FakeGroup
+from rosemaryward.platform.fakes.store import FakeStore, ValueView
 from rosemaryward.platform.http_server import READINESS_PATH
 from rosemaryward.platform.settings import SETTINGS_VARIABLE
+from rosemaryward.proxy.platform_keys import FAILOVER_LOCK_KEY
 
 __all__ = ["GROUP", "Fleet", "Proxy"]
 
@@ -69,6 +71,19 @@
         return ports, reservations
 
 
+def replace_ports(ports: Mapping[int, int]) -> ValueView:
+    """Return a view of the store's values with ports of addresses replaced."""
+
+    def replace_port(match: re.Match[bytes]) -> bytes:
+        port = int(match[1])
+        return f"127.0.0.1:{ports.get(port, port)}".encode()
+
+    def rewrite_addresses(_: str, value: bytes) -> bytes:
+        return LOOPBACK_ADDRESS.sub(replace_port, value)
+
+    return rewrite_addresses
+
+
 class Proxy:
     """One real proxy process, restarted whenever it ends.
 
@@ -214,6 +229,7 @@
         self.version = 0
         self.configuration = b""
         self.absent_since: dict[str, float] = {}
+        self.registration_removal_delay_s = REGISTRATION_REMOVAL_DELAY_S
 
     async def run(self, tasks: TaskGroup, started: anyio.Event) -> None:
         """Start stand-ins, links and proxies and keep them running until cancelled.
@@ -243,6 +259,17 @@
             started.set()
             await anyio.sleep_forever()
 
+    def lock_holder(self) -> Proxy | None:
+        """Return the proxy that holds the failover lock, None if there is none."""
+        item = self.store.items.get(FAILOVER_LOCK_KEY)
+        if item is None:
+            return None
+        return self.find(msgspec.json.decode(item.value)["holder"])
+
+    def find(self, name: str) -> Proxy | None:
+        """Return the proxy with a name, or None."""
+        return next((proxy for proxy in self.proxies if proxy.name == name), None)
+
     def write_configuration(self, extra_routes: int) -> None:
         """Write a configuration with a higher version to the store."""
         self.version += random.randrange(1, 4)
@@ -289,7 +316,7 @@
         """Create the links from a proxy to the services that it connects to."""
         targets = {"promotion": promotion}
         for instance in self.group.instances:
-            targets[instance.name] = instance.port
+            targets[instance.label] = instance.port
         linked = len(self.proxies) <= MAX_PROXIES_WITH_PEER_LINKS
         for other in self.proxies if linked else []:
             if other is not proxy:
@@ -307,17 +334,9 @@
         self, proxy: Proxy, ports: Mapping[int, int], served: anyio.Event
     ) -> None:
         """Serve the store to one proxy, with addresses replaced by its links."""
-
-        def replace_port(match: re.Match[bytes]) -> bytes:
-            port = int(match[1])
-            return f"127.0.0.1:{ports.get(port, port)}".encode()
-
-        def rewrite_addresses(key: str, value: bytes) -> bytes:
-            return LOOPBACK_ADDRESS.sub(replace_port, value)
-
-        async with serve_http(
-            self.store.create_app(rewrite_addresses), "127.0.0.1", 0
-        ) as port:
+        targets = {link: target for target, link in ports.items()}
+        app = self.store.create_app(replace_ports(ports), replace_ports(targets))
+        async with serve_http(app, "127.0.0.1", 0) as port:
             proxy.links["store"].target_port = port
             served.set()
             await anyio.sleep_forever()
@@ -325,19 +344,28 @@
     async def _register_instances(self) -> None:
         """Keep the registrations of the instances in the store up to date."""
         while True:
-            for instance in self.group.instances:
-                self._register(instance)
+            self._update_registrations()
             await anyio.sleep(REGISTRATION_INTERVAL_S)
 
-    def _register(self, instance: FakeInstance) -> None:
-        key = REGISTRATION_PREFIX + instance.name
-        if not instance.alive:
-            since = self.absent_since.setdefault(instance.name, time.monotonic())
-            if time.monotonic() - since > REGISTRATION_REMOVAL_DELAY_S:
+    def _update_registrations(self) -> None:
+        """Register the running instances; remove the entries of the others later."""
+        values = {
+            REGISTRATION_PREFIX + instance.name: self.group.encode_registration(
+                instance
+            )
+            for instance in self.group.instances
+            if instance.alive
+        }
+        for key, value in values.items():
+            known = self.store.items.get(key)
+            if known is None or known.value != value:
+                self.store.put(key, value)
+        now = time.monotonic()
+        self.absent_since = {
+            key: self.absent_since.get(key, now)
+            for key in self.store.items
+            if key.startswith(REGISTRATION_PREFIX) and key not in values
+        }
+        for key, since in self.absent_since.items():
+            if now - since > self.registration_removal_delay_s:
                 self.store.delete(key)
-            return
-        self.absent_since.pop(instance.name, None)
-        value = self.group.encode_registration(instance)
-        known = self.store.items.get(key)
-        if known is None or known.value != value:
-            self.store.put(key, value)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/run.py
@@ -12,6 +12,7 @@
 from rosemaryward.bench.launch.processes import stop_children
 from rosemaryward.bench.soak.callers import Callers
 from rosemaryward.bench.soak.endings import check_cuts, check_endings
+from rosemaryward.bench.soak.failovers import FailoverFaults
 from rosemaryward.bench.soak.faults import FaultRecord, Faults
 from rosemaryward.bench.soak.fleet import Fleet
 from rosemaryward.bench.soak.history import check
@@ -54,6 +55,9 @@
     CRASHES
         Crashes of instances that overlap, with replicas that receive nothing, and
         kills of proxies.
+    FAILOVERS
+        Crashes of instances that return under other ids or with other logs, promotion
+        calls that are held up, and faults of the failover lock's holder.
     """
 
     SINGLE = "single"
@@ -61,6 +65,7 @@
     PLANNED = "planned"
     RESTORED = "restored"
     CRASHES = "crashes"
+    FAILOVERS = "failovers"
 
     @classmethod
     def of_seed(cls, seed: int) -> "FaultSelection":
@@ -68,6 +73,13 @@
         return cls.PLANNED if seed % 2 else cls.MIXED
 
 
+SLOW_RECOVERIES = (
+    FaultSelection.RESTORED,
+    FaultSelection.CRASHES,
+    FaultSelection.FAILOVERS,
+)
+
+
 class SoakResult(msgspec.Struct):
     """Result of one soak.
 
@@ -129,7 +141,8 @@
     fleet = Fleet(proxies, connections, mean_statement_s, folder, root)
     is_balanced = in_series and random.Random(seed + 3).random() < BALANCED_SHARE
     load = Callers(fleet, random.Random(seed + 1), in_series, is_balanced)
-    faults = Faults(fleet, rng)
+    is_failovers = selection is FaultSelection.FAILOVERS
+    faults = FailoverFaults(fleet, rng) if is_failovers else Faults(fleet, rng)
     if selection is FaultSelection.CRASHES:
         faults.select_crashes()
     maintenance = Maintenance(fleet, faults, random.Random(seed + 2))
@@ -156,7 +169,7 @@
                 violations += [f"recover: {name} is not ready" for name in late]
                 late = await fleet.wait_until_configured(CONFIGURATION_TIMEOUT_S)
                 violations += [f"configuration: {name} has an older" for name in late]
-                if selection in (FaultSelection.RESTORED, FaultSelection.CRASHES):
+                if selection in SLOW_RECOVERIES:
                     # A change of primary may wait for members that do not answer.
                     left_s = injected_until + RECOVERY_LIMIT_S - time.monotonic()
                     await anyio.sleep(max(left_s, 0.0))
