--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
@@ -0,0 +1,130 @@
+"""Orders of events around changes of primary that must not lose a commit."""
+
+import asyncio
+import contextlib
+
+import anyio
+import pytest
+
+from rosemaryward.decisions.errors import RosemarywardError, StoreError
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
+from rosemaryward.decisions.leadership.records import (
+    CONFIRMATION_VALIDITY_S,
+    Leadership,
+)
+from rosemaryward.decisions.leadership.tests.replication import SimulatedFleet
+from rosemaryward.decisions.types import LogPosition
+
+pytestmark = pytest.mark.looptime(noop_cycles=0)
+
+CALL_TIMEOUT_S = 1.0  # of a promotion call
+
+
+async def change(fleet):
+    """Replace the primary, or fail to do so."""
+    with contextlib.suppress(RosemarywardError):
+        await fleet.change(silent=True)
+
+
+def hold_up_first_call(group, delay_s):
+    """Let the first promotion call reach the platform late, without an answer."""
+    promote = group.promote
+    calls = []
+
+    async def promote_late(*call):
+        await anyio.sleep(delay_s)
+        await promote(*call)
+
+    async def promote_or_time_out(*call):
+        calls.append(call)
+        if len(calls) > 1:
+            return await promote(*call)
+        calls.append(asyncio.get_running_loop().create_task(promote_late(*call)))
+        await anyio.sleep(CALL_TIMEOUT_S)
+        raise StoreError("no answer")
+
+    group.promote = promote_or_time_out
+
+
+def start_empty(fleet, instance, renamed):
+    """Start an instance again without its log."""
+    instance.alive = False
+    fleet.group.restart(instance, renamed)
+    instance.term = 1
+    instance.log = []
+    fleet.expire_registrations()
+    fleet.register(instance)
+
+
+@pytest.mark.parametrize("renamed", [False, True])
+@pytest.mark.parametrize("proxy_restarted", [False, True])
+async def test_instance_that_starts_empty_does_not_stand_for_its_earlier_log(
+    renamed, proxy_restarted
+):
+    """Guards against counting an emptied replica as a log without the last commits."""
+    fleet = SimulatedFleet(anyio.current_time)
+    await fleet.maintain()
+    primary, copy, behind = fleet.group.instances
+    behind.receives = False
+    fleet.commit("proxy-1", sampled=False)
+    start_empty(fleet, copy, renamed)
+    primary.alive = False
+    if proxy_restarted:
+        fleet.start_process("proxy-1")
+    await change(fleet)
+    assert fleet.group.lost == []
+
+
+async def test_promotion_call_without_answer_does_not_replace_a_later_primary():
+    """Guards against a held-up call that promotes after another one was published."""
+    fleet = SimulatedFleet(anyio.current_time)
+    await fleet.maintain()
+    old, called, _ = fleet.group.instances
+    fleet.commit("proxy-1", sampled=False)
+    hold_up_first_call(fleet.group, delay_s=5.0)
+    old.alive = False
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(change, fleet)
+        await anyio.sleep(0.9)
+        called.alive = False
+        await anyio.sleep(2.1)
+        fleet.group.restart(old, renamed=True)
+        fleet.register(old)
+        await change(fleet)
+        fleet.commit("proxy-1", sampled=False)
+        called.receives = False
+        fleet.group.restart(called, renamed=False)
+        await anyio.sleep(6.0)
+    assert fleet.group.lost == []
+
+
+async def test_promotion_call_without_answer_does_not_undo_a_later_change():
+    """Guards against a repeated call whose first copy promotes after a later change."""
+    fleet = SimulatedFleet(anyio.current_time)
+    await fleet.maintain()
+    old, called, _ = fleet.group.instances
+    fleet.commit("proxy-1", sampled=False)
+    hold_up_first_call(fleet.group, delay_s=5.0)
+    old.alive = False
+    await change(fleet)  # the repeated call is answered
+    fleet.group.restart(old, renamed=True)
+    fleet.register(old)
+    fleet.group.replicate()
+    called.alive = False
+    await change(fleet)
+    fleet.commit("proxy-1", sampled=False)
+    called.receives = False
+    fleet.group.restart(called, renamed=False)
+    await anyio.sleep(6.0)
+    assert fleet.group.lost == []
+
+
+async def test_write_answered_after_the_confirmation_ended_is_not_acknowledged():
+    """Guards against telling a caller of a commit that a change may not have seen."""
+    leadership = Leadership(anyio.current_time)
+    leadership.observe(GROUP, make_record(), 1)
+    leadership.confirm(anyio.current_time())
+    with leadership.track_write(GROUP):
+        await anyio.sleep(CONFIRMATION_VALIDITY_S + 0.1)
+        acknowledged = leadership.acknowledge(GROUP, 1, LogPosition(1, 9))
+    assert not acknowledged
