--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -11,8 +11,14 @@
 from anyio.lowlevel import checkpoint
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import ConflictError, StoreError
-from rosemaryward.decisions.mirror import LeaseLostError, LeaseStore
+from rosemaryward.decisions.mirror import (
+    ConditionalWrite,
+    LeaseLostError,
+    LeaseStore,
+    StoredValue,
+)
 
 __all__ = ["FailoverLock", "LockRecord"]
 
@@ -22,6 +28,9 @@
 ACQUIRE_POLL_INTERVAL_S = 0.25
 NEW_PROCESS_WAIT_S = 10.0
 MAX_RELEASE_REQUEST_DELAY_S = 1.0  # others do not acquire the lock soon
+# Watches of the lock's key by its prefix must not include the last acquisition.
+LAST_ACQUISITION_PREFIX = "last-"
+UNKNOWN_HOLDER = ""
 
 log = structlog.get_logger(__name__)
 
@@ -47,6 +56,11 @@
     The fencing token is the store revision of the write that acquired the lock. It
     grows with every change of the holder and is never reused.
 
+    The store may remove the record before its lease expires. Each acquisition therefore
+    also writes a copy without a lease, and is rejected by the store unless this proxy
+    has seen the copy that the last one wrote. A proxy that has missed the last
+    acquisition learns of its holder from the copy.
+
     Parameters
     ----------
     store : LeaseStore
@@ -74,10 +88,14 @@
         Record in the store as last observed, None if there is none.
     revision : int
         Store revision of `record`, 0 if there is none.
+    last_acquisition_key : str
+        Key of the copy of the record that the last acquisition wrote.
+    last_acquisition : int
+        Store revision of that copy as last observed, 0 if there is none.
     token : int
         Fencing token of this process, 0 if it must not act.
     last_holder : str
-        Holder of the record that was removed last.
+        Holder of the newest record that was removed, or that was not seen.
     last_holder_token : int
         Fencing token of that record.
     last_holder_released : bool
@@ -111,6 +129,8 @@
     ) -> None:
         self.store = store
         self.key = key
+        self.last_acquisition_key = LAST_ACQUISITION_PREFIX + key
+        self.last_acquisition = 0
         self.holder = name
         self.incarnation = incarnation
         self.acquire_delay_s = acquire_delay_s
@@ -146,14 +166,36 @@
 
     def observe_removal(self) -> None:
         """Apply the removal of the record: its lease expired or was revoked."""
-        self.last_holder = "" if self.record is None else self.record.holder
-        log.info("duty key removed", holder=self.last_holder, token=self.revision)
-        self.last_holder_token = self.revision
-        self.last_holder_released = False
+        holder = UNKNOWN_HOLDER if self.record is None else self.record.holder
+        log.info("duty key removed", holder=holder, token=self.revision)
+        self._record_last_holder(holder, self.revision)
         self.record = None
         self.revision = 0
         self.free_since = self.clock()
 
+    def observe_last_acquisition(self, record: LockRecord, revision: int) -> None:
+        """Apply the copy of the record that the last acquisition wrote."""
+        if revision <= self.last_acquisition:
+            return
+        self.last_acquisition = revision
+        if revision > max(self.revision, self.last_holder_token):
+            # The record itself may have been removed before this proxy saw it.
+            log.info("duty acquisition observed", holder=record.holder, token=revision)
+            self._record_last_holder(record.holder, revision)
+            self.free_since = self.clock()
+
+    def observe_last_acquisition_removal(self) -> None:
+        """Apply the loss of that copy, for example by a restore of the store."""
+        self.last_acquisition = 0
+
+    def _record_last_holder(self, holder: str, token: int) -> None:
+        """Record who may act without a record, unless a later holder is known."""
+        if token <= self.last_holder_token:
+            return
+        self.last_holder = holder
+        self.last_holder_token = token
+        self.last_holder_released = False
+
     def observe_restore(self) -> None:
         """Give up the lock, because the store may have lost its record."""
         log.info("duty ends with the restored store", token=self.token)
@@ -182,9 +224,6 @@
                     await self._request_release()
                     if self._may_acquire():
                         await self._acquire()
-            except ConflictError:
-                log.info("duty taken by another proxy first")
-                self.free_since = self.clock()
             except StoreError as error:
                 log.info("store call for the duty failed", error=str(error))
             await anyio.sleep(pause_s)
@@ -263,17 +302,59 @@
         self.renewed_at = sent_at
 
     async def _acquire(self) -> None:
-        """Grant a lease and write the record; raises `ConflictError`."""
-        # Use the revision at which the lock was found free: a record observed during
+        """Grant a lease and write the record, unless another proxy has done so."""
+        # Use the revisions at which the lock was found free: a record observed during
         # the lease call must not be overwritten.
-        expected_revision = self.revision
+        expected, last_acquisition = self.revision, self.last_acquisition
         sent_at = self.clock()
         lease_id = await self.store.grant_lease(LEASE_TTL_S)
         record = LockRecord(self.holder, self.incarnation)
         value = msgspec.json.encode(record)
-        revision = await self.store.write(self.key, value, expected_revision, lease_id)
+        writes = [
+            ConditionalWrite(self.key, value, expected, lease_id),
+            ConditionalWrite(self.last_acquisition_key, value, last_acquisition),
+        ]
+        try:
+            revision = await self.store.write_all(writes)
+        except ConflictError:
+            log.info("duty taken by another proxy first")
+            self.free_since = self.clock()
+            await self._read_records()
+            return
         self.lease_id = lease_id
         self.token = revision
         self.renewed_at = sent_at
+        self.last_acquisition = max(self.last_acquisition, revision)
         self.observe(record, revision)
         log.info("duty taken", token=revision)
+
+    async def _read_records(self) -> None:
+        """Read the record and its copy, of which a watch may have missed changes."""
+        # A record that is missing after its copy was read has been removed since.
+        copy = await self._read(self.last_acquisition_key)
+        stored = await self._read(self.key)
+        record = None if stored is None else _decode_record(stored)
+        if stored is not None and record is not None:
+            self.observe(record, stored.revision)
+        elif self.record is not None:
+            self.observe_removal()
+        if copy is None:
+            self.observe_last_acquisition_removal()
+        else:
+            copied = _decode_record(copy) or LockRecord(UNKNOWN_HOLDER, "")
+            self.observe_last_acquisition(copied, copy.revision)
+        self.free_since = self.clock()
+
+    async def _read(self, key: str) -> StoredValue | None:
+        """Return the value of a key, None if there is none; raises `StoreError`."""
+        listing = await self.store.list(key)
+        return next((stored for stored in listing.values if stored.key == key), None)
+
+
+def _decode_record(stored: StoredValue) -> LockRecord | None:
+    """Return a record, None if its value cannot be decoded."""
+    try:
+        return decode_json(stored.value, LockRecord)
+    except msgspec.DecodeError as error:
+        log.warning("store value cannot be decoded", key=stored.key, error=str(error))
+        return None
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -27,7 +27,12 @@
 from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.decisions.leadership.replica_set_upkeep import ReplicaSetUpkeep
 from rosemaryward.decisions.leadership.replica_sets import ReplicaSets
-from rosemaryward.decisions.mirror import LeaseLostError, Listing, StoredValue
+from rosemaryward.decisions.mirror import (
+    ConditionalWrite,
+    LeaseLostError,
+    Listing,
+    StoredValue,
+)
 from rosemaryward.decisions.types import LogPosition
 
 
@@ -42,13 +47,18 @@
         self.before_write = None
 
     async def write(self, key, value, expected, lease_id=0):
+        return await self.write_all([ConditionalWrite(key, value, expected, lease_id)])
+
+    async def write_all(self, writes):
         await anyio.lowlevel.checkpoint()
         if self.before_write is not None:
             self.before_write()
-        if self.values.get(key, (None, 0))[1] != expected:
-            raise ConflictError(key)
+        for write in writes:
+            if self.values.get(write.key, (None, 0))[1] != write.expected:
+                raise ConflictError(write.key)
         self.revision += 1
-        self.values[key] = (value, self.revision)
+        for write in writes:
+            self.values[write.key] = (write.value, self.revision)
         return self.revision
 
     async def list(self, prefix):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -237,6 +237,102 @@
     assert not (first.is_held() and second.is_held())
 
 
+class WatchedFleetLockMachine(FleetLockMachine):
+    """The same fleet, whose proxies watch all keys and stop when they are asked to."""
+
+    def __init__(self):
+        super().__init__()
+        for lock in self.locks.values():
+            lock.request_release = self.request_release
+
+    async def request_release(self, holder, token):
+        self.locks[holder].invalidate_token(token)
+        return True
+
+    @rule(name=st.sampled_from(FleetLockMachine.NAMES))
+    def watch_last_acquisition(self, name):
+        lock = self.locks[name]
+        stored = self.store.values.get(lock.last_acquisition_key)
+        if stored is not None:
+            record = msgspec.json.decode(stored[0], type=LockRecord)
+            lock.observe_last_acquisition(record, stored[1])
+
+
+TestWatchedFleetLock = WatchedFleetLockMachine.TestCase
+TestWatchedFleetLock.settings = settings(
+    max_examples=100, stateful_step_count=30, deadline=None, derandomize=True
+)
+
+
+@pytest.mark.parametrize("releases", [True, False])
+async def test_holder_that_was_not_seen_is_asked_to_stop(releases):
+    """Guards against waiting for a lease although its holder has stopped."""
+    store, clock = MemoryStore(), FakeClock()
+    first, second = (
+        make_lock(store, clock, name, releases=releases)
+        for name in ("proxy-2", "proxy-1")
+    )
+    clock.now += 2.5
+    await step(first)
+    del store.values[KEY]
+    await step(second)
+    assert (second.last_holder, second.last_holder_token) == ("proxy-2", first.token)
+    await step(second)
+    assert second.is_held() is releases
+    clock.now += lock_module.LEASE_TTL_S
+    await step(second)
+    assert second.is_held()
+
+
+async def test_release_by_an_earlier_holder_does_not_free_the_lock():
+    """Guards against a second holder after removals that a watch shows together."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock, releases=True)
+    lock.observe(LockRecord("proxy-2", "inc-proxy-2"), 31)
+    lock.observe_last_acquisition(LockRecord("proxy-3", "inc-proxy-3"), 35)
+    lock.observe_removal()
+    assert (lock.last_holder, lock.last_holder_token) == ("proxy-3", 35)
+
+
+@pytest.mark.parametrize(
+    "copy",
+    [
+        pytest.param(None, id="never-written"),
+        pytest.param(LockRecord("proxy-3", "inc-proxy-3"), id="of-an-earlier-holder"),
+    ],
+)
+async def test_lock_of_an_earlier_build_is_acquired_at_once(copy):
+    """Guards against a slow handover in a rolling update."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock, name="proxy-2")
+    store.revision = 20
+    if copy is not None:
+        store.values[lock.last_acquisition_key] = (msgspec.json.encode(copy), 12)
+        lock.observe_last_acquisition(copy, 12)
+    store.values[KEY] = (b"", 20)
+    lock.observe(LockRecord("", "inc-proxy-1"), 20)
+    await step(lock)
+    assert lock.is_held()
+
+
+@pytest.mark.parametrize(
+    "copy", [pytest.param(None, id="lost"), pytest.param(b"?", id="unreadable")]
+)
+async def test_lock_without_a_readable_copy_is_free_after_a_lease(copy):
+    """Guards against a lock that nobody can acquire any more."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock)
+    lock.observe_last_acquisition(LockRecord("proxy-2", "inc-proxy-2"), 5)
+    if copy is not None:
+        store.values[lock.last_acquisition_key] = (copy, 9)
+    clock.now += 2.5
+    await step(lock)
+    assert not lock.is_held()
+    clock.now += lock_module.LEASE_TTL_S
+    await step(lock)
+    assert lock.is_held()
+
+
 async def test_released_lock_is_not_acquired_again_by_the_same_process():
     """Guards against a process that takes the lock while it shuts down."""
     store, clock = MemoryStore(), FakeClock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -14,6 +14,7 @@
 from rosemaryward.decisions.mirror.reader_failures import ReaderFailures
 from rosemaryward.decisions.mirror.store import (
     Changes,
+    ConditionalWrite,
     HistoryLostError,
     LeasedKey,
     LeaseLostError,
@@ -33,6 +34,7 @@
     "Changes",
     "ChangesReply",
     "ChangesRequest",
+    "ConditionalWrite",
     "FollowerSource",
     "HistoryLostError",
     "LeaseLostError",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -6,6 +6,7 @@
 back, and none is given out twice.
 """
 
+from collections.abc import Sequence
 from typing import Protocol
 
 import msgspec
@@ -14,6 +15,7 @@
 
 __all__ = [
     "Changes",
+    "ConditionalWrite",
     "HistoryLostError",
     "LeaseLostError",
     "LeaseStore",
@@ -137,6 +139,27 @@
     lease_id: int
 
 
+class ConditionalWrite(msgspec.Struct, frozen=True):
+    """A value to write if its key has the expected revision.
+
+    Parameters
+    ----------
+    key : str
+        Key to write.
+    value : bytes
+        Encoded value.
+    expected : int
+        Store revision of the value to replace, 0 if the key must not exist.
+    lease_id : int, optional
+        Lease to bind the key to, 0 for none.
+    """
+
+    key: str
+    value: bytes
+    expected: int
+    lease_id: int = 0
+
+
 class LeaseStore(Protocol):
     """The platform's store; every method raises `StoreError` without an answer.
 
@@ -194,6 +217,22 @@
             If the lease has expired.
         """
 
+    async def write_all(self, writes: Sequence[ConditionalWrite]) -> int:
+        """Write all values or, unless all keys have the expected revisions, none.
+
+        Returns
+        -------
+        int
+            Store revision of the change.
+
+        Raises
+        ------
+        ConflictError
+            If a key has another revision.
+        LeaseLostError
+            If a lease has expired.
+        """
+
     async def register(
         self, key: str, value: bytes, expected: int, leased_key: LeasedKey
     ) -> int:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -265,6 +265,11 @@
                 self._observe_failover_lock,
                 self._failover_lock_removed,
             ),
+            RecordSubscriber(
+                self.failover_lock.last_acquisition_key,
+                self._observe_last_acquisition,
+                self._last_acquisition_removed,
+            ),
         ]
         return {subscriber.prefix: subscriber for subscriber in subscribers}
 
@@ -537,6 +542,13 @@
     def _failover_lock_removed(self, name: str) -> None:
         self.failover_lock.observe_removal()
 
+    def _observe_last_acquisition(self, name: str, stored: StoredValue) -> None:
+        record = decode_json(stored.value, LockRecord)
+        self.failover_lock.observe_last_acquisition(record, stored.revision)
+
+    def _last_acquisition_removed(self, name: str) -> None:
+        self.failover_lock.observe_last_acquisition_removal()
+
     # Background tasks
 
     async def _register(self) -> None:
