--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
@@ -12,6 +12,7 @@
     CONFIRMATION_VALIDITY_S,
     Leadership,
 )
+from rosemaryward.decisions.leadership.tests.promotion_fleet import PromotionFleet
 from rosemaryward.decisions.leadership.tests.replication import SimulatedFleet
 from rosemaryward.decisions.types import LogPosition
 
@@ -128,3 +129,51 @@
         await anyio.sleep(CONFIRMATION_VALIDITY_S + 0.1)
         acknowledged = leadership.acknowledge(GROUP, 1, LogPosition(1, 9))
     assert not acknowledged
+
+
+@contextlib.asynccontextmanager
+async def promotion_fleet():
+    """Run two proxies with their supervisors."""
+    fleet = PromotionFleet(anyio.current_time)
+    await fleet.start()
+    yield fleet
+    for task in fleet.group.tasks:
+        task.cancel()
+
+
+async def write(fleet, name):
+    """Run a write through a proxy; its answer arrives at once."""
+    fleet.group.spawn(fleet.proxies[name].write_statement(0.0))
+    await anyio.sleep(0.2)
+
+
+async def test_instance_that_returns_before_it_is_registered_may_have_commits():
+    """Guards against a replica set without an instance that confirms commits again."""
+    async with promotion_fleet() as fleet:
+        primary, behind, gone = fleet.group.instances
+        gone.alive = False
+        for proxy in fleet.proxies.values():
+            fleet.expire_registrations(proxy)
+        await anyio.sleep(20.0)  # it leaves the replica set
+        behind.receives = False
+        fleet.group.start(gone, renamed=True, empty=False)
+        await write(fleet, "proxy-2")
+        assert fleet.group.acknowledged
+        primary.alive = False
+        await anyio.sleep(10.0)
+        assert fleet.group.lost == []
+
+
+async def test_instance_that_starts_empty_while_it_copies_the_log_is_no_copy_of_it():
+    """Guards against a promotion while the only other copy is copied again."""
+    async with promotion_fleet() as fleet:
+        primary, copy, behind = fleet.group.instances
+        behind.receives = False
+        await write(fleet, "proxy-2")
+        fleet.group.copied_at[copy] = anyio.current_time() + 4.0
+        copy.alive = False
+        fleet.group.start(copy, renamed=False, empty=True)
+        primary.alive = False
+        await anyio.sleep(10.0)
+        fleet.group.start(primary, renamed=False, empty=False)
+        assert fleet.group.lost == []
