--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/replication.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/replication.py
@@ -225,6 +225,7 @@
         self.members.observe(member(name, f"inc-{number}"), number)
         self.members.mark_alive(name)
         self.peers.fenced[name] = LogPosition()
+        self.peers.committed[name] = LogPosition()
 
     def register(self, instance):
         self.directory.observe(
@@ -252,6 +253,7 @@
         if position is None:
             return
         self.peers.fenced[proxy] = max(self.peers.fenced[proxy], position)
+        self.peers.committed[proxy] = self.peers.fenced[proxy]
         if sampled:
             self.samples.record(sent_at, position)
 
