--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/simulation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/simulation.py
@@ -52,6 +52,8 @@
         self.cuts: set[frozenset[str]] = set()
         self.extra_s: dict[str, float] = {}  # additional one-way delay by party
         self.loss: dict[str, float] = {}  # fraction of lost answers, by requesting host
+        self.held: set[tuple[str, str]] = set()  # (host, command) not delivered yet
+        self.released = anyio.Event()
 
     def cut(self, ones, others):
         self.cuts |= {frozenset((a, b)) for a in ones for b in others if a != b}
@@ -63,6 +65,17 @@
         jitter = self.random.uniform(0.0, 0.001)
         return base + jitter + self.extra_s.get(a, 0.0) + self.extra_s.get(b, 0.0)
 
+    def release(self):
+        """Deliver the held commands, also those of hosts that have stopped."""
+        self.held.clear()
+        self.released.set()
+        self.released = anyio.Event()
+
+    async def wait_released(self, host, command):
+        while (host, command) in self.held:
+            await self.released.wait()
+            await anyio.sleep(self.random.uniform(0.0, 0.01))
+
     async def transmit(self, a, b, loss=0.0):
         lost = loss and self.random.random() < loss
         if lost or frozenset((a, b)) in self.cuts:
@@ -179,6 +192,7 @@
 
         async def deliver():
             try:
+                await self.instance.simulation.network.wait_released(self.host, name)
                 answer = await self._exchange(name, operate)
             except EndpointError as error:
                 answer = error
@@ -329,6 +343,18 @@
         host = f"p{record.instance[-1]}" if record else ""
         if host not in self.supervisors:
             return False
+        return await self._write_through(host, record, deadline_s)
+
+    async def write_through_each_host(self, interval_s):
+        """Write all the time through each host, at the primary that it knows."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                for host, supervisor in self.supervisors.items():
+                    if supervisor.primary is not None:
+                        tasks.start_soon(self._write_through, host, supervisor.primary)
+                await anyio.sleep(interval_s)
+
+    async def _write_through(self, host, record, deadline_s=1.0):
         supervisor, instance = self.supervisors[host], self.instances[record.instance]
         self.payloads += 1
         payload = self.payloads
@@ -371,6 +397,7 @@
         self.network.cuts.clear()
         self.network.extra_s.clear()
         self.network.loss.clear()
+        self.network.release()
         for instance in self.instances.values():
             instance.alive, instance.lag_s = True, 0.0
             instance.apply_per_s = math.inf
