--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_lost_logs.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_lost_logs.py
@@ -10,9 +10,9 @@
 FAILOVER_S = 5.0  # longer than any promotion takes
 
 
-def restart(instance, kept_entries=None):
+def restart(instance, kept_entries=None, term=0):
     """Restart an instance that has kept a part of its log, by default all of it."""
-    instance.term, instance.role, instance.proposer = 0, InstanceRole.FENCED, ""
+    instance.term, instance.role, instance.proposer = term, InstanceRole.FENCED, ""
     instance.source = ""
     instance.log = instance.log[:kept_entries]
     instance.applied = len(instance.log)
@@ -60,3 +60,31 @@
             return count_lost_writes(simulation)
 
     assert run(scenario) == 0, "acknowledged writes lost"
+
+
+@pytest.mark.parametrize(
+    "keeps_term",
+    [pytest.param(False, id="forgets-it"), pytest.param(True, id="keeps-it")],
+)
+def test_restarted_instance_confirms_no_writes_of_an_older_term(keeps_term):
+    """Guards against writes that are acknowledged after a newer primary is open."""
+
+    async def scenario():
+        async with GroupSimulation(1) as simulation:
+            primary, restarted, other = members(simulation)
+            owner = f"p{primary.name[-1]}"
+            others = {"p1", "p2", "p3"} - {owner}
+            old_side = [primary.name, owner]
+            simulation.network.cut(old_side, [restarted.name, other.name, *others])
+            await simulation.wait_until(lambda: max(simulation.opened) > 1)
+            simulation.network.cuts -= {
+                frozenset((party, restarted.name)) for party in old_side
+            }
+            simulation.network.cut([restarted.name], others)
+            simulation.tasks.start_soon(simulation.write_through_each_host, 0.1)
+            restart(restarted, term=restarted.term if keeps_term else 0)
+            await anyio.sleep(FAILOVER_S)
+            return simulation.violations
+
+    violations = run(scenario)
+    assert not violations, "writes acknowledged by a replaced primary"
