--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_lost_logs.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_lost_logs.py
@@ -1,9 +1,14 @@
-"""Instances that come back without their log."""
+"""Instances that come back without their log, and instances that are replaced."""
 
 import anyio
 import pytest
 
-from rosemaryward.decisions.groups.tests.simulation import GroupSimulation, run
+from rosemaryward.decisions.groups.tests.simulation import (
+    SECTIONS,
+    GroupSimulation,
+    Instance,
+    run,
+)
 from rosemaryward.decisions.interfaces import InstanceRole
 
 WRITES = 10
@@ -18,6 +23,20 @@
     instance.applied = len(instance.log)
 
 
+def replace_instance(simulation, old, hosts):
+    """Let the document name an empty instance for `old`, as `hosts` read it."""
+    new = Instance(f"j{old.name[-1]}", simulation)
+    simulation.instances[new.name] = new
+    simulation.tasks.start_soon(new.replicate)
+    section = SECTIONS[old.name]
+    simulation.sections = {
+        name: other for name, other in simulation.sections.items() if name != old.name
+    } | {new.name: section}
+    for host in hosts:
+        simulation.kill_host(host)
+        simulation.start_host(host)
+
+
 def members(simulation):
     """Return the primary, the replica that confirms the writes and the other one."""
     primary = simulation.primary()
@@ -88,3 +107,51 @@
 
     violations = run(scenario)
     assert not violations, "writes acknowledged by a replaced primary"
+
+
+@pytest.mark.parametrize(
+    "replaced", [pytest.param(True, id="replaced"), pytest.param(False, id="kept")]
+)
+def test_instance_that_the_document_adds_does_not_count_as_the_one_it_replaces(
+    replaced,
+):
+    """Guards against electing a replica that lacks writes, by a new instance's vote."""
+
+    async def scenario():
+        async with GroupSimulation(1) as simulation:
+            primary, confirming, behind = members(simulation)
+            await write_without_one_replica(simulation, primary, behind)
+            primary.alive = False
+            if replaced:
+                del simulation.instances[confirming.name]
+                replace_instance(simulation, confirming, ("p1", "p2", "p3"))
+            await anyio.sleep(FAILOVER_S)
+            primary.alive = True
+            await anyio.sleep(FAILOVER_S)
+            return count_lost_writes(simulation)
+
+    assert run(scenario) == 0, "acknowledged writes lost"
+
+
+@pytest.mark.parametrize(
+    "replaced", [pytest.param(True, id="replaced"), pytest.param(False, id="kept")]
+)
+def test_versions_of_the_document_have_no_separate_majorities(replaced):
+    """Guards against two primaries while some owners lack the newest document."""
+
+    async def scenario():
+        async with GroupSimulation(1) as simulation:
+            primary, confirming, other = members(simulation)
+            owner = f"p{primary.name[-1]}"
+            others = {"p1", "p2", "p3"} - {owner}
+            old_side = [primary.name, owner, confirming.name]
+            new_side = [other.name, *others, f"j{confirming.name[-1]}"]
+            simulation.network.cut(old_side, new_side)
+            if replaced:
+                replace_instance(simulation, confirming, sorted(others))
+            simulation.tasks.start_soon(simulation.write_through_each_host, 0.1)
+            await anyio.sleep(FAILOVER_S)
+            return simulation.violations
+
+    violations = run(scenario)
+    assert not violations, "writes acknowledged by a replaced primary"
