--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/supervisor.py
@@ -14,6 +14,7 @@
 from rosemaryward.decisions.leadership.members import MemberRecord, ReachabilityRequest
 from rosemaryward.decisions.leadership.records import GroupRecord
 from rosemaryward.decisions.leadership.replica_set_upkeep import ReplicaSetUpkeep
+from rosemaryward.decisions.leadership.replication_resume import ReplicationResume
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = ["PrimarySupervisor"]
@@ -64,6 +65,8 @@
         Boot time of the last check of a primary that is registered as a replica.
     replica_set : ReplicaSetUpkeep
         Keeps the group's replica set up to date.
+    replication : ReplicationResume
+        Resumes replicas that a change of primary has left paused.
     """
 
     def __init__(
@@ -82,6 +85,7 @@
         self.stall_checked_at = 0.0
         self.role_checked_at = 0.0
         self.replica_set = ReplicaSetUpkeep(group, context, clock)
+        self.replication = ReplicationResume(group, context, clock)
 
     async def run(self) -> None:
         """Check the primary at a fixed interval while the failover lock is held."""
@@ -112,6 +116,7 @@
             change = PrimaryChange(self.group, self.context, self.clock)
             await change.run(reason, reason == PRIMARY_SILENT)
         else:
+            await self.replication.update(record)
             await self.replica_set.update(record.primary)
 
     def _track_primary(self) -> None:
