--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -2,6 +2,7 @@
 
 from rosemaryward.decisions.mirror.follower import (
     READER_MAX_READ_AGE_S,
+    STORE_SOURCE,
     ChangeHistory,
     ChangesReply,
     ChangesRequest,
@@ -30,6 +31,7 @@
 
 __all__ = [
     "READER_MAX_READ_AGE_S",
+    "STORE_SOURCE",
     "ChangeHistory",
     "Changes",
     "ChangesReply",
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -35,6 +35,8 @@
 from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord, ReplicaSets
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
 from rosemaryward.decisions.mirror import (
+    READER_MAX_READ_AGE_S,
+    STORE_SOURCE,
     FollowerSource,
     Reader,
     ReaderFailures,
@@ -90,7 +92,9 @@
 
 # A database that a configuration has added must be served 3 s later at the latest.
 CONFIGURATION_MAX_AGE_S = 2.5
-REGISTRATIONS_MAX_AGE_S = 2.0  # the store is read every 1.5 s
+# A follower asks every 1.5 s a reader whose own read may be as old as that of a proxy
+# that reads the store.
+FOLLOWED_MAX_AGE_S = READER_MAX_READ_AGE_S + 1.5
 CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -568,7 +572,7 @@
         """Remove expired endpoints, and end sessions while records are unconfirmed."""
         while True:
             await anyio.sleep(CLEANUP_INTERVAL_S)
-            if self.mirror.age_s() > REGISTRATIONS_MAX_AGE_S:
+            if self._may_have_lost_store():
                 self.directory.mark_outdated()
             self.directory.remove_expired()
             if not self.leadership.is_confirmed():
@@ -576,6 +580,12 @@
                 for session in list(self.sessions):
                     session.end(UNCONFIRMED)
 
+    def _may_have_lost_store(self) -> bool:
+        """Return whether the last read of the store is too old for normal operation."""
+        reads_store = self.follower_source.selected in ("", STORE_SOURCE)
+        limit_s = READER_MAX_READ_AGE_S if reads_store else FOLLOWED_MAX_AGE_S
+        return self.mirror.age_s() > limit_s
+
     async def _supervise(self) -> None:
         """Start a supervisor for each replication group that appears."""
         async with anyio.create_task_group() as tasks:
