--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_held_commands.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_held_commands.py
@@ -4,6 +4,7 @@
 
 import anyio
 import looptime
+import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -128,36 +129,77 @@
 TestHeldCommands = HeldCommandsMachine.TestCase
 
 
+async def hold_open(simulation):
+    """Fail the primary while a replica is behind, and hold the open of the other one.
+
+    Returns
+    -------
+    tuple of Instance
+        The primary, which has returned, and the replica that was to be opened.
+    """
+    network, primary = simulation.network, simulation.primary()
+    chosen, behind = (i for i in simulation.instances.values() if i is not primary)
+    network.cut([primary.name], [behind.name])
+    for _ in range(5):
+        assert await simulation.write()
+    network.held |= {(host, "open_writes") for host in simulation.supervisors}
+    primary.alive = False
+    await simulation.wait_until(lambda: chosen.term > 1)
+    await anyio.sleep(0.6)
+    assert len(simulation.opened) == 1
+    primary.alive = True
+    network.cuts.clear()
+    return primary, chosen
+
+
 def test_late_open_of_an_earlier_attempt_opens_no_second_primary():
     """Guards against a promotion that takes effect after a later one."""
 
     async def scenario():
         async with GroupSimulation(1) as simulation:
-            network = simulation.network
-            primary = simulation.primary()
-            chosen, behind = (
-                i for i in simulation.instances.values() if i is not primary
-            )
-            network.cut([primary.name], [behind.name])
-            for _ in range(5):
-                assert await simulation.write()
-            network.held |= {(host, "open_writes") for host in simulation.supervisors}
-            primary.alive = False
-            await simulation.wait_until(lambda: chosen.term > 1)
-            await anyio.sleep(0.6)
-            assert len(simulation.opened) == 1
-            chosen.alive, primary.alive = False, True
-            network.cuts.clear()
-            network.held.clear()
+            primary, chosen = await hold_open(simulation)
+            simulation.network.held.clear()
+            chosen.alive = False
             await simulation.wait_until(lambda: len(simulation.opened) > 1)
             assert simulation.primary() is primary
             chosen.alive = True
             await simulation.wait_until(lambda: chosen.role is InstanceRole.REPLICA)
             simulation.tasks.start_soon(simulation.write_through_each_host, 0.05)
-            network.release()
+            simulation.network.release()
             await anyio.sleep(0.05)
             assert chosen.role is InstanceRole.REPLICA
             await anyio.sleep(2.0)
             await simulation.heal_and_check()
 
     run(scenario)
+
+
+@pytest.mark.parametrize(
+    "is_interrupted",
+    [pytest.param(True, id="proposer-died"), pytest.param(False, id="proposer-lives")],
+)
+def test_instance_opened_late_on_a_minority_side_acknowledges_nothing(is_interrupted):
+    """Guards against adopting the primary of an interrupted, superseded change."""
+
+    async def scenario():
+        async with GroupSimulation(1) as simulation:
+            primary, chosen = await hold_open(simulation)
+            proposer = chosen.proposer[:2]
+            side = {chosen.name, proposer}
+            everyone = set(simulation.instances) | set(simulation.supervisors)
+            simulation.network.cut(side, everyone - side)
+            simulation.network.held = {(proposer, "open_writes")}
+            if is_interrupted:
+                simulation.kill_host(proposer)
+            await simulation.wait_until(lambda: len(simulation.opened) > 1)
+            assert simulation.primary() is primary
+            simulation.tasks.start_soon(simulation.write_through_each_host, 0.05)
+            simulation.network.release()
+            if is_interrupted:
+                simulation.start_host(proposer)
+            await simulation.wait_until(lambda: chosen.role is InstanceRole.PRIMARY)
+            await anyio.sleep(2.0)
+            assert not simulation.violations
+            await simulation.heal_and_check()
+
+    run(scenario)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/tests/test_supervisor.py
@@ -49,6 +49,41 @@
     with_simulation(check)
 
 
+def test_view_that_has_expired_confirms_no_write():
+    """Guards against acknowledging a write after a newer primary may be open."""
+
+    async def check(simulation, supervisor, primary):
+        name, term = primary.name, primary.term
+        primary.write(term, 100)
+        bound = primary.status().received
+        await simulation.wait_until(
+            lambda: supervisor.view.is_confirmed(name, bound, term)
+        )
+        simulation.network.cut([supervisor.host_id], simulation.instances)
+        await anyio.sleep(0.26)
+        assert not supervisor.view.is_confirmed(name, bound, term)
+        with pytest.raises(OutcomeUnknownError):
+            await supervisor.confirm_write(name, term, 0.5)
+
+    with_simulation(check)
+
+
+def test_new_primary_opens_only_after_older_read_leases_have_expired():
+    """Guards against acknowledgements and reads of two primaries at a time."""
+
+    async def check(simulation, supervisor, primary):
+        instances = simulation.instances.values()
+        primary.alive = False
+        await simulation.wait_until(lambda: sum(i.term > 1 for i in instances) == 2)
+        raised_at = anyio.current_time()
+        await simulation.wait_until(lambda: len(simulation.opened) > 1)
+        poll_interval_s = 0.01  # of `wait_until`
+        opened_at = max(simulation.opened_at.values())
+        assert opened_at - raised_at >= supervisor.settings.lease_s - poll_interval_s
+
+    with_simulation(check)
+
+
 def test_concurrent_calls_share_requests():
     """Guards against one status request per statement, which overloads instances."""
 
