--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replication_resume.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replication_resume.py
@@ -13,6 +13,7 @@
 __all__ = ["ReplicationResume"]
 
 RETRY_INTERVAL_S = 1.0
+ANSWER_WAIT_S = 0.2  # the primary is not checked meanwhile
 # A pause that was sent during a change may take effect after the change has ended.
 LATE_PAUSE_S = 10.0
 
@@ -75,6 +76,7 @@
             self.began_at = now
             self.due_at = {}
         async with anyio.create_task_group() as tasks:
+            tasks.cancel_scope.deadline = anyio.current_time() + ANSWER_WAIT_S
             for endpoint in self.context.directory.in_group(self.group):
                 is_due = self.due_at.get(endpoint.id, now) <= now
                 if endpoint.id != record.primary and is_due:
