--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -153,6 +153,8 @@
         """Announce a change of primary, or take over an interrupted one."""
         known = self.context.leadership.records[self.group]
         known_revision = self.context.leadership.revisions[self.group]
+        if not known.serving and known.holder != self.context.lock.holder:
+            self.pending.take_over(self.group, known.pending)
         record = GroupRecord(
             epoch=self.context.leadership.next_epoch(self.group),
             primary=known.primary,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
@@ -57,6 +57,14 @@
         limit = self.clock() + EFFECT_LIMIT_S
         self.until[group] = {e: known.get(e, limit) for e in named}
 
+    def take_over(self, group: str, named: Iterable[str]) -> None:
+        """Wait for the last calls of another holder, which has just lost the lock.
+
+        It may have repeated a call until then without a new record.
+        """
+        limit = self.clock() + EFFECT_LIMIT_S
+        self.until.setdefault(group, {}).update(dict.fromkeys(named, limit))
+
     def endpoints(self, group: str) -> list[str]:
         """Return the endpoints of a group whose calls may still take effect."""
         now = self.clock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
@@ -4,10 +4,16 @@
 import contextlib
 
 import looptime
+import msgspec
 import pytest
 
 from rosemaryward.decisions.errors import RosemarywardError, StoreError
-from rosemaryward.decisions.gateway.tests.fakes import GROUP
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
+from rosemaryward.decisions.leadership import change as change_module
+from rosemaryward.decisions.leadership import pending_promotions
+from rosemaryward.decisions.leadership.change import ChangeAbandonedError
+from rosemaryward.decisions.leadership.pending_promotions import EFFECT_LIMIT_S
+from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, status
 from rosemaryward.decisions.leadership.tests.replication import (
     SimulatedFleet,
     SimulatedGroup,
@@ -115,3 +121,23 @@
     assert scenario.group.lost == []
     assert scenario.fleet.leadership.records[GROUP].serving
     assert len(scenario.group.acknowledged) > 1
+
+
+async def test_next_holder_waits_for_the_last_call_of_the_one_before(monkeypatch):
+    """Guards against a call that was repeated long after it was first announced."""
+    monkeypatch.setattr(change_module, "CONFIRMATION_VALIDITY_S", 0.3)
+    monkeypatch.setattr(change_module, "CONFIRMATION_MARGIN_S", 0.0)
+    monkeypatch.setattr(change_module, "CATCH_UP_TIMEOUT_S", 0.05)
+    monkeypatch.setattr(pending_promotions, "EFFECT_LIMIT_S", 5.0)
+    run = ChangeScenario({"i-2": status(1, 6)})
+    announced = msgspec.structs.replace(
+        make_record(2), serving=False, holder="proxy-2", pending=("i-3",)
+    )
+    run.leadership.observe(GROUP, announced, 2)
+    run.writer.revision = 2
+    first_announced_at = run.leadership.clock() - EFFECT_LIMIT_S - 0.1
+    pending = run.leadership.pending_promotions
+    pending.until[GROUP]["i-3"] = first_announced_at + EFFECT_LIMIT_S
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run("unfinished change", old_primary_silent=True)
+    assert run.promoter.calls == []
