--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
@@ -81,6 +81,8 @@
         If it ends with another error than `PromotionNotSentError`, or is cancelled,
         it may take effect later.
         """
+        if endpoint_id not in self.endpoints(group):
+            self.unanswered.discard((group, endpoint_id))
         try:
             yield
         except PromotionNotSentError:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
@@ -8,11 +8,14 @@
 import pytest
 
 from rosemaryward.decisions.errors import RosemarywardError, StoreError
-from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
+from rosemaryward.decisions.gateway.tests.fakes import GROUP, FakeClock, make_record
 from rosemaryward.decisions.leadership import change as change_module
 from rosemaryward.decisions.leadership import pending_promotions
 from rosemaryward.decisions.leadership.change import ChangeAbandonedError
-from rosemaryward.decisions.leadership.pending_promotions import EFFECT_LIMIT_S
+from rosemaryward.decisions.leadership.pending_promotions import (
+    EFFECT_LIMIT_S,
+    PendingPromotions,
+)
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, status
 from rosemaryward.decisions.leadership.tests.replication import (
     SimulatedFleet,
@@ -141,3 +144,16 @@
     with contextlib.suppress(ChangeAbandonedError):
         await run.run("unfinished change", old_primary_silent=True)
     assert run.promoter.calls == []
+
+
+def test_answered_call_is_not_pending_because_of_a_much_earlier_one():
+    """Guards against a wait in every later promotion of the same endpoint."""
+    clock = FakeClock()
+    pending = PendingPromotions(clock)
+    with pytest.raises(StoreError), pending.track_call(GROUP, "i-2"):
+        raise StoreError("no answer")
+    clock.now += EFFECT_LIMIT_S + 1.0
+    with pending.track_call(GROUP, "i-2"):
+        pass
+    pending.resolve(GROUP, "i-2")
+    assert pending.endpoints(GROUP) == []
