--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
@@ -51,11 +51,24 @@
         self.until: dict[str, dict[str, float]] = {}
         self.unanswered: set[tuple[str, str]] = set()
 
-    def observe(self, group: str, named: Iterable[str]) -> None:
-        """Apply the endpoints that a group's newest record names."""
+    def observe(
+        self, group: str, named: Iterable[str], is_restored: bool = False
+    ) -> None:
+        """Apply the endpoints that a group's newest record names.
+
+        Parameters
+        ----------
+        group : str
+            Group of the record.
+        named : iterable of str
+            Endpoints that the record names.
+        is_restored : bool
+            Whether the record may be a copy from before other endpoints were named.
+        """
         known = self.until.get(group, {})
         limit = self.clock() + EFFECT_LIMIT_S
-        self.until[group] = {e: known.get(e, limit) for e in named}
+        kept = known if is_restored else {}
+        self.until[group] = kept | {e: known.get(e, limit) for e in named}
 
     def take_over(self, group: str, named: Iterable[str]) -> None:
         """Wait for the last calls of another holder, which has just lost the lock.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -142,7 +142,9 @@
         self.generation = max(self.generation, generation)
         # A write that expects a revision of an earlier generation always conflicts.
         is_in_store = generation == self.generation
-        is_latest_write = is_in_store and revision > self.revisions.get(group, 0)
+        known_revision = self.revisions.get(group, 0)
+        is_latest_write = is_in_store and revision > known_revision
+        is_restored = generation > generation_of(known_revision)
         self.revisions.setdefault(group, 0)
         if is_latest_write:
             self.revisions[group] = revision
@@ -165,7 +167,7 @@
                 self.closed_epochs.get(group, 0), record.epoch
             )
         self.records[group] = record
-        self.pending_promotions.observe(group, record.pending)
+        self.pending_promotions.observe(group, record.pending, is_restored)
         self._track_change(group)
         log.info(
             "primary record observed",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_pending_promotions.py
@@ -16,11 +16,13 @@
     EFFECT_LIMIT_S,
     PendingPromotions,
 )
+from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, status
 from rosemaryward.decisions.leadership.tests.replication import (
     SimulatedFleet,
     SimulatedGroup,
 )
+from rosemaryward.decisions.mirror import make_revision
 
 CALL_TIMEOUT_S = 1.0
 
@@ -157,3 +159,17 @@
         pass
     pending.resolve(GROUP, "i-2")
     assert pending.endpoints(GROUP) == []
+
+
+def test_restored_store_does_not_end_the_wait_for_an_unanswered_call():
+    """Guards against a copy of the store from before the call was announced."""
+    leadership = Leadership(FakeClock())
+    record = msgspec.structs.replace(make_record(2), serving=False)
+    leadership.observe(GROUP, record, 2)
+    named = msgspec.structs.replace(record, pending=("i-2",))
+    leadership.observe(GROUP, named, 3)
+    pending = leadership.pending_promotions
+    with pytest.raises(StoreError), pending.track_call(GROUP, "i-2"):
+        raise StoreError("no answer")
+    leadership.observe(GROUP, record, make_revision(1, 2))
+    assert pending.endpoints(GROUP) == ["i-2"]
