--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -95,7 +95,9 @@
         # An endpoint that has started just now may hold commits and not be known yet.
         may_lack_endpoints = self.context.directory.may_lack_endpoints()
         is_counted = uncertain <= tolerated and not may_lack_endpoints
-        is_chosen = received >= committed and (is_counted or has_all_acknowledged)
+        # Without synchronous replicas, the loss of the primary's log is accepted.
+        lacks_commit = received < committed and self._is_replicated()
+        is_chosen = not lacks_commit and (is_counted or has_all_acknowledged)
         decision = {
             "endpoint": best,
             "received": received.to_token(),
@@ -135,6 +137,10 @@
         endpoint = self.context.directory.endpoints.get(endpoint_id)
         return endpoint is None or endpoint.leaving
 
+    def _is_replicated(self) -> bool:
+        """Return whether an acknowledged commit is in the log of a replica."""
+        return self.context.sync_replicas(self.group) > 0
+
     def _replica_set(self) -> dict[str, str]:
         """Return the endpoints that may hold acknowledged commits, with addresses."""
         recorded = self.context.replica_sets.endpoints(self.group)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -173,6 +173,16 @@
     assert [endpoint for endpoint, _, _ in run.promoter.calls] == promoted
 
 
+async def test_loss_of_the_primary_is_accepted_without_synchronous_replicas():
+    """Guards against a group that waits for good for a log that no replica has."""
+    run = ChangeScenario({"i-2": status(1, 4), "i-3": status(1, 4)})
+    run.sync_replicas = 0
+    run.peers.committed = {"proxy-1": LogPosition(1, 5)}
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run(old_primary_silent=True)
+    assert [endpoint for endpoint, _, _ in run.promoter.calls] == ["i-2"]
+
+
 async def test_replica_is_not_promoted_while_new_endpoints_may_be_unregistered():
     """Guards against counting logs right after an outage of the store."""
     run = ChangeScenario({"i-2": status(1, 4), "i-3": status(1, 4)})
