--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_replica_sets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_replica_sets.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import pytest
 
 from rosemaryward.decisions.gateway.tests.fakes import (
@@ -6,6 +8,8 @@
     FakeClock,
     make_endpoint,
 )
+from rosemaryward.decisions.leadership import change as change_module
+from rosemaryward.decisions.leadership.change import ChangeAbandonedError
 from rosemaryward.decisions.leadership.replica_set_upkeep import REMOVAL_DELAY_S
 from rosemaryward.decisions.leadership.replica_sets import (
     count_uncertain,
@@ -74,3 +78,29 @@
     clock.now += missing_s
     await upkeep.update("i-1")
     assert ("i-3" not in run.replica_sets.endpoints(GROUP)) is removed
+
+
+@pytest.mark.parametrize("leaving", [False, True])
+async def test_commits_of_a_receiving_endpoint_without_registration_are_not_lost(
+    leaving, monkeypatch
+):
+    """Guards against forgetting an endpoint that only the store cannot reach."""
+    monkeypatch.setattr(change_module, "CONFIRMATION_VALIDITY_S", 0.3)
+    monkeypatch.setattr(change_module, "CONFIRMATION_MARGIN_S", 0.0)
+    statuses = {e: status(1, 4) for e in ("i-2", "i-3")}
+    run = ChangeScenario(statuses | {"i-1": status(1, 4, is_primary=True)})
+    clock = FakeClock()
+    upkeep = run.upkeep(clock)
+    run.directory.observe(make_endpoint("i-3", FAR, leaving=leaving))
+    await upkeep.update("i-1")
+    del run.directory.endpoints["i-3"]
+    await upkeep.update("i-1")
+    clock.now += REMOVAL_DELAY_S
+    await upkeep.update("i-1")
+    # Two proxies have commits 1.5 to 1.9, of which only the silent logs have the last.
+    run.control.statuses = {"i-2": status(1, 6), "i-3": status(1, 9)}
+    run.peers.fenced = dict.fromkeys(("proxy-1", "proxy-2"), LogPosition(1, 9))
+    run.peers.committed = {"proxy-1": LogPosition(1, 6)}
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run(old_primary_silent=True)
+    assert run.promoter.calls == []
