--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/pending_promotions.py
@@ -51,11 +51,32 @@
         self.until: dict[str, dict[str, float]] = {}
         self.unanswered: set[tuple[str, str]] = set()
 
-    def observe(self, group: str, named: Iterable[str]) -> None:
-        """Apply the endpoints that a group's newest record names."""
+    def observe(
+        self, group: str, named: Iterable[str], is_restored: bool = False
+    ) -> None:
+        """Apply the endpoints that a group's newest record names.
+
+        Parameters
+        ----------
+        group : str
+            Group of the record.
+        named : iterable of str
+            Endpoints that the record names.
+        is_restored : bool
+            Whether the record may be a copy from before other endpoints were named.
+        """
         known = self.until.get(group, {})
         limit = self.clock() + EFFECT_LIMIT_S
-        self.until[group] = {e: known.get(e, limit) for e in named}
+        kept = known if is_restored else {}
+        self.until[group] = kept | {e: known.get(e, limit) for e in named}
+
+    def take_over(self, group: str, named: Iterable[str]) -> None:
+        """Wait for the last calls of another holder, which has just lost the lock.
+
+        It may have repeated a call until then without a new record.
+        """
+        limit = self.clock() + EFFECT_LIMIT_S
+        self.until.setdefault(group, {}).update(dict.fromkeys(named, limit))
 
     def endpoints(self, group: str) -> list[str]:
         """Return the endpoints of a group whose calls may still take effect."""
@@ -73,6 +94,8 @@
         If it ends with another error than `PromotionNotSentError`, or is cancelled,
         it may take effect later.
         """
+        if endpoint_id not in self.endpoints(group):
+            self.unanswered.discard((group, endpoint_id))
         try:
             yield
         except PromotionNotSentError:
