--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
@@ -112,6 +112,8 @@
 
     Attributes
     ----------
+    called : SimulatedInstance or None
+        Instance that the newest promotion call names.
     hold_ups : list of float
         Seconds for which each of the next promotion calls is held up.
     pending_losses : list of tuple of SimulatedInstance, str and LogPosition
@@ -124,6 +126,7 @@
         self.clock = clock
         self.hold_ups = []
         self.pending_losses = []
+        self.called = None
         self.copied_at = {}  # time at which an emptied instance has the log again
         self.tasks = set()
 
@@ -220,6 +223,7 @@
     async def call(self, name):
         """Send a promotion call, which may be held up without an answer."""
         delay_s = self.hold_ups.pop(0) if self.hold_ups else LATENCY_S
+        self.called = next((i for i in self.instances if i.name == name), None)
         task = self.spawn(self.receive_call_late(name, delay_s))
         if delay_s < CALL_TIMEOUT_S:
             return await asyncio.shield(task)
