--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -8,6 +8,7 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.leadership.pending_promotions import PendingPromotions
 from rosemaryward.decisions.mirror.store import generation_of
 from rosemaryward.decisions.types import LogPosition
 
@@ -42,6 +43,8 @@
     term : int
         Term of the last primary that served, 0 if unknown. An endpoint that leads a
         later term was promoted after it.
+    pending : tuple of str
+        Endpoints for which a promotion was called and may still take effect.
     """
 
     epoch: int
@@ -49,6 +52,7 @@
     serving: bool
     holder: str
     term: int = 0
+    pending: tuple[str, ...] = ()
 
 
 class Leadership:
@@ -83,7 +87,12 @@
     running_writes : dict of str to dict
         Boot time at which each running write of each group was sent.
     acknowledged : dict of str to LogPosition
-        Newest log position of an acknowledged write of each group.
+        Newest log position of an acknowledged write of each group, at most that of
+        the primary's newest entry when it answered.
+    committed : dict of str to LogPosition
+        Log position that an acknowledged write of each group has at least.
+    pending_promotions : PendingPromotions
+        Promotion calls that may still take effect.
     changing_since : dict of str to float
         Boot time at which a running change of primary was first seen, by group.
     write_ended : anyio.Event
@@ -98,10 +107,12 @@
         "changing_since",
         "clock",
         "closed_epochs",
+        "committed",
         "confirmations",
         "confirmed_at",
         "fence_epochs",
         "generation",
+        "pending_promotions",
         "records",
         "revisions",
         "running_writes",
@@ -114,10 +125,12 @@
         self.revisions: dict[str, int] = {}
         self.fence_epochs: dict[str, int] = {}
         self.closed_epochs: dict[str, int] = {}
+        self.pending_promotions = PendingPromotions(clock)
         self.changing_since: dict[str, float] = {}
         self.running_writes: dict[str, dict[object, float]] = {}
         self.write_ended = anyio.Event()
         self.acknowledged: dict[str, LogPosition] = {}
+        self.committed: dict[str, LogPosition] = {}
         self.generation = 0
         self.confirmed_at = float("-inf")
         self.confirmations: dict[int, float] = {}
@@ -134,7 +147,10 @@
         if is_latest_write:
             self.revisions[group] = revision
         known = self.records.get(group)
-        if known is not None and _order(record) <= _order(known):
+        is_update = (
+            known is not None and is_latest_write and _order(record) == _order(known)
+        )
+        if known is not None and _order(record) <= _order(known) and not is_update:
             if is_latest_write and _order(record) < _order(known):
                 log.warning(
                     "older primary record in the store",
@@ -149,6 +165,7 @@
                 self.closed_epochs.get(group, 0), record.epoch
             )
         self.records[group] = record
+        self.pending_promotions.observe(group, record.pending)
         self._track_change(group)
         log.info(
             "primary record observed",
@@ -157,6 +174,7 @@
             epoch=record.epoch,
             serving=record.serving,
             holder=record.holder,
+            pending=record.pending,
             revision=revision,
         )
         for notify in self.change_listeners:
@@ -239,22 +257,62 @@
         running = self.running_writes.get(group)
         return self.clock() - min(running.values()) if running else 0.0
 
-    def acknowledge(self, group: str, epoch: int, position: LogPosition | None) -> bool:
+    def acknowledge(
+        self,
+        group: str,
+        epoch: int,
+        position: LogPosition | None,
+        position_before: LogPosition | None = None,
+    ) -> bool:
         """Record an acknowledged write.
 
+        Parameters
+        ----------
+        group : str
+            Group of the write.
+        epoch : int
+            Epoch of the primary that answered.
+        position : LogPosition or None
+            Position of the primary's newest entry when it answered.
+        position_before : LogPosition, optional
+            A position that the primary's log had before the write was sent.
+
         Returns
         -------
         bool
-            False if the primary was replaced in the meantime, so that the new
-            primary's log may lack the write.
+            False if the primary was replaced in the meantime, or may have been, so
+            that the new primary's log may lack the write.
         """
-        if epoch < self.closed_epochs.get(group, 0):
+        closed_epoch = self.closed_epochs.get(group, 0)
+        if epoch < closed_epoch or not self._is_confirmed(epoch):
+            log.info(
+                "acknowledgement rejected",
+                group=group,
+                epoch=epoch,
+                closed_epoch=closed_epoch,
+                confirmed_for_s=round(self.confirmation_left_s(), 3),
+            )
             return False
         if position is not None:
             known = self.acknowledged.get(group, LogPosition())
             self.acknowledged[group] = max(known, position)
+            self._record_commit(group, position, position_before)
         return True
 
+    def _record_commit(
+        self, group: str, position: LogPosition, position_before: LogPosition | None
+    ) -> None:
+        """Record the least position that an acknowledged write can have."""
+        if position_before is None or position_before.term != position.term:
+            return
+        least = LogPosition(position.term, position_before.index + 1)
+        known = self.committed.get(group, LogPosition())
+        self.committed[group] = max(known, least)
+
+    def committed_position(self, group: str) -> LogPosition:
+        """Return a position that an acknowledged write of a group has at least."""
+        return self.committed.get(group, LogPosition())
+
     def change_age_s(self, group: str) -> float | None:
         """Return for how many seconds a change of primary runs, None without one."""
         since = self.changing_since.get(group)
@@ -281,15 +339,15 @@
     def primary(self, group: str) -> GroupRecord | None:
         """Return the record of a group whose primary may be used now, or None."""
         record = self.records.get(group)
-        if record is None or not record.serving or not self._is_confirmed(record):
+        if record is None or not record.serving or not self._is_confirmed(record.epoch):
             return None
         if record.epoch < self.fence_epochs.get(group, 0):
             return None
         return record
 
-    def _is_confirmed(self, record: GroupRecord) -> bool:
-        """Return whether a read of the record's own generation confirms it."""
-        generation = record.epoch >> EPOCH_BITS
+    def _is_confirmed(self, epoch: int) -> bool:
+        """Return whether a read of an epoch's own generation confirms its record."""
+        generation = epoch >> EPOCH_BITS
         confirmed_at = self.confirmations.get(generation, float("-inf"))
         return self.clock() < confirmed_at + CONFIRMATION_VALIDITY_S
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -90,6 +90,7 @@
 
 # A database that a configuration has added must be served 3 s later at the latest.
 CONFIGURATION_MAX_AGE_S = 2.5
+REGISTRATIONS_MAX_AGE_S = 2.0  # the store is read every 1.5 s
 CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
@@ -132,7 +133,7 @@
         self.endpoint_prober = EndpointProber(
             self.directory, self.group_control, self.relay_selector.is_relay
         )
-        self.promoter = PlatformPromoter(settings.promotion_address)
+        self.promoter = PlatformPromoter(settings.promotion_address, self._may_promote)
         self.peers = MemberClient()
         self.record_writer = StoreRecordWriter(self.store, GROUP_PREFIX)
         self.replica_sets = ReplicaSets(
@@ -478,6 +479,10 @@
         configured = self.environment.groups.get(group)
         return 0 if configured is None else configured.sync_replicas
 
+    def _may_promote(self, token: int) -> bool:
+        """Return whether this process certainly holds the lock under a token."""
+        return self.failover_lock.is_held() and self.failover_lock.token == token
+
     async def _request_release(self, name: str, token: int) -> bool:
         """Return whether the named member no longer acts under a fencing token."""
         member = self.members.members.get(name)
@@ -563,6 +568,8 @@
         """Remove expired endpoints, and end sessions while records are unconfirmed."""
         while True:
             await anyio.sleep(CLEANUP_INTERVAL_S)
+            if self.mirror.age_s() > REGISTRATIONS_MAX_AGE_S:
+                self.directory.mark_outdated()
             self.directory.remove_expired()
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
