--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
@@ -127,6 +127,7 @@
         self.hold_ups = []
         self.pending_losses = []
         self.called = None
+        self.started_at = {}  # milliseconds, of instances that have started again
         self.copied_at = {}  # time at which an emptied instance has the log again
         self.tasks = set()
 
@@ -188,6 +189,7 @@
             if holder is instance
         ]
         self.restart(instance, renamed)
+        self.started_at[instance] = int(self.clock() * 1000)
 
     def take_effect(self, instance):
         """Let an instance lead the next term with what it has received."""
@@ -396,8 +398,31 @@
                     if key in self.fleet.store.values:
                         self.apply(key, *self.fleet.store.values[key])
                 self.leadership.confirm(sent_at)
+            else:
+                self.directory.mark_outdated()
+            self.read_at_primary()
             await anyio.sleep(CONFIRM_INTERVAL_S)
 
+    def read_at_primary(self):
+        """Sample the position of the primary, as reads of callers do."""
+        instance = self.usable_primary()
+        if instance is not None:
+            self.samples.record(self.clock(), instance.received)
+
+    def usable_primary(self):
+        """Return the instance of the usable primary if it answers."""
+        record = self.leadership.primary(GROUP)
+        return next(
+            (
+                i
+                for i in self.group.instances
+                if record is not None
+                and (i.name, i.alive, i.is_primary) == (record.primary, True, True)
+                and i not in self.unreachable
+            ),
+            None,
+        )
+
     # Other proxies
 
     async def _reach(self, name):
@@ -412,8 +437,9 @@
     async def fence(self, member, request):
         other = await self._reach(member.name)
         position = await other.leadership.fence_and_drain(request.group, request.epoch)
+        committed = other.leadership.committed_position(request.group)
         await self.checkpoint()
-        return FenceReply(f"inc-{member.name}", position)
+        return FenceReply(f"inc-{member.name}", position, committed)
 
     async def send_record(self, member, notice):
         other = await self._reach(member.name)
@@ -473,21 +499,18 @@
 
     async def write_statement(self, answer_delay_s):
         """Run a write of a caller, whose answer travels for some time."""
-        record = self.leadership.primary(GROUP)
-        if record is None:
-            return
-        instance = next(
-            (i for i in self.group.instances if i.name == record.primary), None
-        )
-        if instance is None or instance in self.unreachable:
+        instance = self.usable_primary()
+        if instance is None:
             return
+        epoch = self.leadership.records[GROUP].epoch
+        position_before = self.samples.newest
         with self.leadership.track_write(GROUP):
             position = await self.group.commit_when_received(instance)
             if position is None:
                 return
             await anyio.sleep(answer_delay_s)
             await self.checkpoint()
-            if self.leadership.acknowledge(GROUP, record.epoch, position):
+            if self.leadership.acknowledge(GROUP, epoch, position, position_before):
                 self.group.acknowledge(position)
 
 
@@ -559,6 +582,7 @@
                     FAR,
                     address=instance.address,
                     claims_primary=instance.is_primary,
+                    started_at=self.group.started_at.get(instance, 1),
                 )
             )
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
@@ -7,7 +7,12 @@
 import pytest
 
 from rosemaryward.decisions.errors import RosemarywardError, StoreError
-from rosemaryward.decisions.gateway.tests.fakes import GROUP, make_record
+from rosemaryward.decisions.gateway.tests.fakes import (
+    FAR,
+    GROUP,
+    make_endpoint,
+    make_record,
+)
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_VALIDITY_S,
     Leadership,
@@ -54,7 +59,9 @@
     instance.term = 1
     instance.log = []
     fleet.expire_registrations()
-    fleet.register(instance)
+    fleet.directory.observe(
+        make_endpoint(instance.name, FAR, address=instance.address, started_at=2)
+    )
 
 
 @pytest.mark.parametrize("renamed", [False, True])
