--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
@@ -504,6 +504,7 @@
             return
         epoch = self.leadership.records[GROUP].epoch
         position_before = self.samples.newest
+        sent_at = self.clock()
         with self.leadership.track_write(GROUP):
             position = await self.group.commit_when_received(instance)
             if position is None:
@@ -512,6 +513,7 @@
             await self.checkpoint()
             if self.leadership.acknowledge(GROUP, epoch, position, position_before):
                 self.group.acknowledge(position)
+                self.samples.record(sent_at, position)
 
 
 class Writer:
