--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
@@ -184,3 +184,42 @@
         await anyio.sleep(10.0)
         fleet.group.start(primary, renamed=False, empty=False)
         assert fleet.group.lost == []
+
+
+async def test_group_whose_commits_are_destroyed_is_served_again():
+    """Guards against refusing all candidates for a commit that no instance has."""
+    async with promotion_fleet() as fleet:
+        await write(fleet, "proxy-2")
+        assert fleet.group.acknowledged
+        for instance in fleet.group.instances:
+            instance.alive = False
+        await anyio.sleep(3.0)
+        for instance in fleet.group.instances:
+            instance.is_primary = False
+            fleet.group.start(instance, renamed=False, empty=True)
+        for proxy in fleet.proxies.values():
+            for instance in fleet.group.instances:
+                fleet.register(proxy, instance)
+        await anyio.sleep(60.0)
+        assert fleet.proxies["proxy-1"].leadership.records[GROUP].serving
+        assert fleet.group.lost == []
+
+
+async def test_instance_that_loses_its_pause_confirms_no_commit_for_a_caller():
+    """Guards against a commit that is acknowledged after the candidate was chosen."""
+    async with promotion_fleet() as fleet:
+        old, _, held = fleet.group.instances
+        holder, other = fleet.proxies.values()
+        for instance in fleet.group.instances[1:]:
+            instance.receives = False
+        holder.unreachable.add(old)
+        other.cut_off = True  # it cannot be fenced
+        await anyio.sleep(4.5)
+        fleet.group.spawn(other.write_statement(0.0))
+        fleet.group.hold_ups = [0.9]
+        await anyio.sleep(3.9)
+        assert held.held_term
+        held.held_term = 0
+        held.receives = True
+        await anyio.sleep(10.0)
+        assert fleet.group.lost == []
