--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/promotion_fleet.py
@@ -112,6 +112,8 @@
 
     Attributes
     ----------
+    called : SimulatedInstance or None
+        Instance that the newest promotion call names.
     hold_ups : list of float
         Seconds for which each of the next promotion calls is held up.
     pending_losses : list of tuple of SimulatedInstance, str and LogPosition
@@ -124,6 +126,8 @@
         self.clock = clock
         self.hold_ups = []
         self.pending_losses = []
+        self.called = None
+        self.started_at = {}  # milliseconds, of instances that have started again
         self.copied_at = {}  # time at which an emptied instance has the log again
         self.tasks = set()
 
@@ -185,6 +189,7 @@
             if holder is instance
         ]
         self.restart(instance, renamed)
+        self.started_at[instance] = int(self.clock() * 1000)
 
     def take_effect(self, instance):
         """Let an instance lead the next term with what it has received."""
@@ -220,6 +225,7 @@
     async def call(self, name):
         """Send a promotion call, which may be held up without an answer."""
         delay_s = self.hold_ups.pop(0) if self.hold_ups else LATENCY_S
+        self.called = next((i for i in self.instances if i.name == name), None)
         task = self.spawn(self.receive_call_late(name, delay_s))
         if delay_s < CALL_TIMEOUT_S:
             return await asyncio.shield(task)
@@ -392,8 +398,31 @@
                     if key in self.fleet.store.values:
                         self.apply(key, *self.fleet.store.values[key])
                 self.leadership.confirm(sent_at)
+            else:
+                self.directory.mark_outdated()
+            self.read_at_primary()
             await anyio.sleep(CONFIRM_INTERVAL_S)
 
+    def read_at_primary(self):
+        """Sample the position of the primary, as reads of callers do."""
+        instance = self.usable_primary()
+        if instance is not None:
+            self.samples.record(self.clock(), instance.received)
+
+    def usable_primary(self):
+        """Return the instance of the usable primary if it answers."""
+        record = self.leadership.primary(GROUP)
+        return next(
+            (
+                i
+                for i in self.group.instances
+                if record is not None
+                and (i.name, i.alive, i.is_primary) == (record.primary, True, True)
+                and i not in self.unreachable
+            ),
+            None,
+        )
+
     # Other proxies
 
     async def _reach(self, name):
@@ -408,8 +437,8 @@
     async def fence(self, member, request):
         other = await self._reach(member.name)
         position = await other.leadership.fence_and_drain(request.group, request.epoch)
-        await self.checkpoint()
         committed = other.leadership.committed_position(request.group)
+        await self.checkpoint()
         return FenceReply(f"inc-{member.name}", position, committed)
 
     async def send_record(self, member, notice):
@@ -470,25 +499,21 @@
 
     async def write_statement(self, answer_delay_s):
         """Run a write of a caller, whose answer travels for some time."""
-        record = self.leadership.primary(GROUP)
-        if record is None:
+        instance = self.usable_primary()
+        if instance is None:
             return
-        instance = next(
-            (i for i in self.group.instances if i.name == record.primary), None
-        )
-        if instance is None or instance in self.unreachable:
-            return
-        position_before = instance.received  # as in the answer to its last statement
+        epoch = self.leadership.records[GROUP].epoch
+        position_before = self.samples.newest
+        sent_at = self.clock()
         with self.leadership.track_write(GROUP):
             position = await self.group.commit_when_received(instance)
             if position is None:
                 return
             await anyio.sleep(answer_delay_s)
             await self.checkpoint()
-            if self.leadership.acknowledge(
-                GROUP, record.epoch, position, position_before
-            ):
+            if self.leadership.acknowledge(GROUP, epoch, position, position_before):
                 self.group.acknowledge(position)
+                self.samples.record(sent_at, position)
 
 
 class Writer:
@@ -559,6 +584,7 @@
                     FAR,
                     address=instance.address,
                     claims_primary=instance.is_primary,
+                    started_at=self.group.started_at.get(instance, 1),
                 )
             )
 
