--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -93,8 +93,8 @@
 # A database that a configuration has added must be served 3 s later at the latest.
 CONFIGURATION_MAX_AGE_S = 2.5
 # A follower asks every 1.5 s a reader whose own read may be as old as that of a proxy
-# that reads the store.
-FOLLOWED_MAX_AGE_S = READER_MAX_READ_AGE_S + 1.5
+# that reads the store, and compares once more 0.5 s later if its watch is behind.
+FOLLOWED_MAX_AGE_S = READER_MAX_READ_AGE_S + 2.5
 CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
