--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_promotion_orders.py
@@ -223,3 +223,13 @@
         held.receives = True
         await anyio.sleep(10.0)
         assert fleet.group.lost == []
+
+
+async def test_first_commit_of_a_term_is_reported_as_committed():
+    """Guards against losing the first commit after a change of primary."""
+    leadership = Leadership(anyio.current_time)
+    leadership.observe(GROUP, make_record(epoch=2, term=2), 1)
+    leadership.confirm(anyio.current_time())
+    newest_before = LogPosition(1, 9)
+    assert leadership.acknowledge(GROUP, 2, LogPosition(2, 10), newest_before)
+    assert leadership.committed_position(GROUP) > newest_before
