--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -305,9 +305,11 @@
         self, group: str, position: LogPosition, position_before: LogPosition | None
     ) -> None:
         """Record the least position that an acknowledged write can have."""
-        if position_before is None or position_before.term != position.term:
+        if position_before is None:
             return
-        least = LogPosition(position.term, position_before.index + 1)
+        is_same_term = position_before.term == position.term
+        index = position_before.index + 1 if is_same_term else 0
+        least = LogPosition(position.term, index)
         known = self.committed.get(group, LogPosition())
         self.committed[group] = max(known, least)
 
