--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -95,8 +95,8 @@
         # An endpoint that has started just now may hold commits and not be known yet.
         may_lack_endpoints = self.context.directory.may_lack_endpoints()
         is_counted = uncertain <= tolerated and not may_lack_endpoints
-        # Without synchronous replicas, the loss of the primary's log is accepted. If all
-        # logs are known and none has the commit, it is lost for good.
+        # Without synchronous replicas, the loss of the primary's log is accepted. If
+        # all logs are known and none has the commit, it is lost for good.
         may_exist = uncertain > 0 and self._is_replicated()
         lacks_commit = received < committed and may_exist
         is_chosen = not lacks_commit and (is_counted or has_all_acknowledged)
