Count the first listing of the store as a read

A listing that the store answers has every change acknowledged before it was sent, like a read of the confirmed prefix, so the age of the mirror is known one round trip earlier after a start. The listing of a reader does not count: the reader's mirror may be behind its own reads.

test_follower_without_a_usable_reader_calls_the_store compares the listing with its send time now, and checks that time.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
@@ -263,7 +263,9 @@
         """Return all values whose keys start with `prefix`."""
         reply = await self._request_changes(ChangesRequest(0, READER_LOAD_WAIT_S))
         if reply is None:
-            return await self.store.list(prefix)
+            sent_at = self.clock()
+            listing = await self.store.list(prefix)
+            return msgspec.structs.replace(listing, sent_at=sent_at)
         values = [value for value in reply.written if value.key.startswith(prefix)]
         return Listing(values, reply.revision)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -146,7 +146,14 @@
             tasks.start_soon(self._confirm)
 
     async def reload(self) -> None:
-        """List all keys and apply the differences; raises `StoreError`."""
+        """List all keys and apply the differences; raises `StoreError`.
+
+        A listing by the store is a read like that of the confirmed prefix: changes
+        that were acknowledged before it was sent are at most at its revision, and all
+        of them are applied. The listing of a reader is not, as its mirror may be
+        behind the reads that the reader has made since.
+        """
+        asked_at = self.clock()
         listing = await self.source.list(ALL_KEYS_PREFIX)
         self._observe_generation(listing.revision)
         present = {stored.key for stored in listing.values}
@@ -157,6 +164,9 @@
             if key not in present and revision <= listing.revision:
                 self._apply_removal(key, listing.revision)
         self._advance(listing.revision)
+        sent_at = asked_at if self.source is self.store else listing.sent_at
+        if sent_at is not None:
+            self._compare(StoreRead(listing.revision, sent_at))
         self.loaded.set()
 
     async def refresh(self, prefix: str) -> Listing:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -82,10 +82,14 @@
         All values whose keys start with the prefix.
     revision : int
         Store revision of the first page; later changes may be included.
+    sent_at : float, optional
+        Boot time in seconds, not later than the store was asked for the first page;
+        None if another process listed the values.
     """
 
     values: list[StoredValue]
     revision: int
+    sent_at: float | None = None
 
 
 class Changes(msgspec.Struct, frozen=True):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_follower.py
@@ -1,6 +1,7 @@
 import anyio
 import pytest
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.mirror import (
     ChangeHistory,
@@ -165,7 +166,30 @@
     store = Store()
     store.put("k", b"1")
     source = make_source(reader, store)
-    assert (await source.list("")) == Listing([value_of(store, "k")], store.revision)
+    asked_at = boot_time_s()
+    listing = await source.list("")
+    assert asked_at <= listing.sent_at <= boot_time_s()
+    assert listing == Listing([value_of(store, "k")], store.revision, listing.sent_at)
+
+
+@pytest.mark.parametrize(
+    ("reader_fails", "known"),
+    [
+        pytest.param(False, False, id="listed-by-a-reader"),
+        pytest.param(True, True, id="listed-by-the-store"),
+    ],
+)
+async def test_only_a_listing_by_the_store_is_a_read(reader_fails, known):
+    """Guards against an age taken from a reader whose mirror is behind its reads."""
+    reader = FollowedProxy()
+    await reader.mirror.reload()
+    reader.down = reader_fails
+    store = Store()
+    follower = StoreMirror(
+        store, {}, "c/", lambda *_: None, source=make_source(reader, store)
+    )
+    await follower.reload()
+    assert (follower.age_s() < float("inf")) is known
 
 
 def value_of(store, key):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -287,3 +287,84 @@
     await mirror.reload()
     assert seen == [(1, 1)]
     assert subscriber.changes == [("c/a", 11), ("c/a", make_revision(1, 6))]
+
+
+class PagedStore(Store):
+    """Store that changes between the pages of a listing, and takes time for each."""
+
+    def __init__(self, clock, change):
+        super().__init__()
+        self.clock = clock
+        self.change = change
+
+    async def list(self, prefix):
+        first_page = [v for v in self.values.values() if v.key < "n"]
+        revision = self.revision
+        self.clock.now += 1.0
+        self.change(self)
+        last_page = [v for v in self.values.values() if v.key >= "n"]
+        self.clock.now += 1.0
+        return Listing(first_page + last_page, revision)
+
+
+class SteppedClock:
+    def __init__(self):
+        self.now = 50.0
+
+    def __call__(self):
+        return self.now
+
+
+def change_first_page(store):
+    store.put("a", b"2")
+
+
+def change_last_page(store):
+    store.put("z", b"2")
+
+
+def remove_from_first_page(store):
+    store.drop("a")
+
+
+def remove_from_last_page(store):
+    store.drop("z")
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        change_first_page,
+        change_last_page,
+        remove_from_first_page,
+        remove_from_last_page,
+    ],
+)
+@pytest.mark.parametrize("known_before", [False, True])
+async def test_first_listing_dates_what_it_includes(change, known_before):
+    """Guards against an age that leaves out a change acknowledged before it.
+
+    A change during the listing is later than the time that the age counts from, and
+    the watch that continues after the first page has it.
+    """
+    clock = SteppedClock()
+    store = PagedStore(clock, lambda store: None)
+    store.put("a", b"1")
+    store.put("z", b"1")
+    subscriber = Subscriber()
+    mirror = StoreMirror(store, {"": subscriber}, "c/", lambda *_: None, clock=clock)
+    assert mirror.age_s() == float("inf")
+    if known_before:
+        await mirror.reload()
+    store.put("b", b"acknowledged before")
+    store.drop("b")
+    store.put("c", b"acknowledged before")
+    asked_at = clock.now
+    store.change = change
+    await mirror.reload()
+    assert mirror.current_at == asked_at
+    assert mirror.age_s() == 2.0
+    assert subscriber.values["c"] == b"acknowledged before"
+    assert "b" not in subscriber.values
+    mirror._apply(await store.watch("", mirror.revision, 0.1))
+    assert subscriber.values == {k: v.value for k, v in store.values.items()}
