--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/environment.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/environment.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from rosemaryward.decisions.tenants import TenantDirectory
 from rosemaryward.decisions.types import Place
 
 __all__ = ["Endpoint", "Environment", "Group", "ReadPolicy", "Route"]
@@ -41,6 +42,8 @@
         Priority of its statements; 0 is the most urgent.
     max_staleness_s : float
         Maximum staleness of a read at a replica; 0 if replicas are not used.
+    public : bool
+        Whether callers need no key.
     """
 
     database: str
@@ -50,6 +53,7 @@
     target_latency_s: float
     rank: int
     max_staleness_s: float = 0.0
+    public: bool = False
 
 
 class Group(msgspec.Struct, frozen=True, kw_only=True):
@@ -117,9 +121,12 @@
         Replication groups by name.
     transaction_idle_s : float
         Time after which an idle transaction is rolled back, in seconds.
+    tenants : TenantDirectory, optional
+        Tenants that callers belong to; None if callers need no key.
     """
 
     version: int
     routes: dict[str, Route]
     groups: dict[str, Group]
     transaction_idle_s: float
+    tenants: TenantDirectory | None = None
