--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -1,8 +1,7 @@
 """Connection pool of one endpoint, shared by the sessions of a proxy."""
 
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Protocol
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import structlog
@@ -17,13 +16,12 @@
     RelayRefusedError,
     UnansweredError,
 )
-from rosemaryward.decisions.gateway.statements import (
-    AdmissionParameters,
-    ControlStatement,
-    PreparedStatement,
-    Statement,
+from rosemaryward.decisions.gateway.pooled_connection import (
+    Connection,
+    Connector,
+    PooledConnection,
 )
-from rosemaryward.decisions.types import LogPosition
+from rosemaryward.decisions.gateway.statements import ControlStatement
 
 __all__ = ["Connection", "Connector", "EndpointPool", "PooledConnection"]
 
@@ -46,202 +44,6 @@
 log = structlog.get_logger(__name__)
 
 
-class Connection(Protocol):
-    """Open connection to an endpoint, which runs one statement at a time.
-
-    Every method except `aclose` raises `UnansweredError` if no complete answer
-    arrives. A connection through a relay also raises `ConnectError` if the statement
-    was certainly not run.
-    """
-
-    async def execute(
-        self,
-        statement: Statement,
-        prepared_name: str,
-        min_position: LogPosition | None,
-        admission: AdmissionParameters | None,
-    ) -> Answer:
-        """Run a caller's statement.
-
-        Parameters
-        ----------
-        statement : Statement
-            Statement to run.
-        prepared_name : str
-            Name at the endpoint of the prepared statement to execute, empty for other
-            kinds of statement.
-        min_position : LogPosition, optional
-            Position that the endpoint must have applied.
-        admission : AdmissionParameters, optional
-            Place of the statement in the relay's queue; unused by a direct connection.
-
-        Returns
-        -------
-        Answer
-        """
-
-    async def begin(
-        self,
-        read_only: bool,
-        min_position: LogPosition | None,
-        admission: AdmissionParameters | None,
-    ) -> Answer:
-        """Begin a transaction; parameters as for `execute`."""
-
-    async def roll_back(self) -> Answer:
-        """Roll back the open transaction."""
-
-    async def set_value(self, name: str, value: str) -> Answer:
-        """Set a session value."""
-
-    async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
-        """Prepare a statement under a name."""
-
-    async def reset(self) -> Answer:
-        """Clear all session values and prepared statements."""
-
-    async def run_control(self, control: ControlStatement) -> Answer:
-        """Run a control statement of the proxy."""
-
-    async def aclose(self) -> None:
-        """Close the connection without waiting for the endpoint."""
-
-
-class Connector(Protocol):
-    """Opens and closes connections to endpoints."""
-
-    async def connect(self, endpoint: Endpoint) -> Connection:
-        """Connect to an endpoint; raises `ConnectError` if it cannot be used."""
-
-    def discard(self, connection: Connection) -> None:
-        """Schedule the close of a connection, which rolls back its transaction."""
-
-
-class PooledConnection:
-    """Pooled connection with the session context that is set on it.
-
-    Parameters
-    ----------
-    connection : Connection
-        Open connection.
-
-    Attributes
-    ----------
-    values : dict of str to str
-        Session values that are set at the endpoint.
-    prepared : set of str
-        Names of the statements that are prepared at the endpoint.
-    broken : bool
-        Whether the connection must be closed instead of reused.
-    idle_since : float
-        Boot time at which it was last returned to the pool, in seconds.
-    """
-
-    __slots__ = (
-        "broken",
-        "connection",
-        "idle_since",
-        "prepared",
-        "values",
-    )
-
-    def __init__(self, connection: Connection) -> None:
-        self.connection = connection
-        self.values: dict[str, str] = {}
-        self.prepared: set[str] = set()
-        self.broken = False
-        self.idle_since = 0.0
-
-    async def execute(
-        self,
-        statement: Statement,
-        prepared_name: str,
-        min_position: LogPosition | None = None,
-        admission: AdmissionParameters | None = None,
-    ) -> Answer:
-        """Run a caller's statement; raises `UnansweredError` or `ConnectError`."""
-        return await self._receive(
-            self.connection.execute(statement, prepared_name, min_position, admission)
-        )
-
-    async def begin(
-        self,
-        read_only: bool,
-        min_position: LogPosition | None,
-        admission: AdmissionParameters | None = None,
-    ) -> Answer:
-        """Begin a transaction; raises `UnansweredError` or `ConnectError`."""
-        return await self._receive(
-            self.connection.begin(read_only, min_position, admission)
-        )
-
-    async def roll_back(self) -> Answer:
-        """Roll back the open transaction; raises `UnansweredError`."""
-        return await self._receive(self.connection.roll_back())
-
-    async def run_control(self, control: ControlStatement) -> Answer:
-        """Run a control statement; raises `UnansweredError`."""
-        return await self._receive(self.connection.run_control(control))
-
-    async def set_session_values(self, values: dict[str, str]) -> None:
-        """Replace the connection's session values.
-
-        Parameters
-        ----------
-        values : dict of str to str
-            Session values by name. If one that is set is not among them, the
-            connection is reset first.
-
-        Raises
-        ------
-        UnansweredError
-            If the endpoint does not confirm a value; the connection is then unusable.
-        """
-        if any(name not in values for name in self.values):
-            await self._confirm(self.connection.reset())
-            self.values = {}
-            self.prepared = set()
-        for name, value in values.items():
-            if self.values.get(name) != value:
-                await self._confirm(self.connection.set_value(name, value))
-                self.values[name] = value
-
-    async def prepare(self, prepared: PreparedStatement) -> str:
-        """Prepare a statement unless it is already prepared.
-
-        Returns
-        -------
-        str
-            Name of the prepared statement at the endpoint.
-
-        Raises
-        ------
-        UnansweredError
-            If the endpoint does not confirm it; the connection is then unusable.
-        """
-        name = f"{'w' if prepared.writes else 'r'}-{prepared.shape}"
-        if name not in self.prepared:
-            await self._confirm(self.connection.prepare(name, prepared))
-            self.prepared.add(name)
-        return name
-
-    async def _receive(self, answer: Awaitable[Answer]) -> Answer:
-        """Await an answer; mark the connection broken unless it is complete."""
-        self.broken = True
-        received = await answer
-        self.broken = False
-        return received
-
-    async def _confirm(self, answer: Awaitable[Answer]) -> None:
-        """Await an answer; raises `UnansweredError` if it reports a failure."""
-        received = await self._receive(answer)
-        if received.failure is not None:
-            self.broken = True
-            raise UnansweredError(
-                f"endpoint refused the session context: {received.reason}"
-            )
-
-
 class EndpointPool:
     """Connection pool and admission queue of one endpoint.
 
@@ -263,9 +65,13 @@
     Attributes
     ----------
     idle_connections : list of PooledConnection
-        Open connections that no session uses.
+        Open connections that no session uses, the least recently used first.
     open_count : int
         Number of open connections, idle or in use.
+    opening_count : int
+        Number of connections of tenants that are being opened.
+    evicted_count : int
+        Number of idle connections that were closed for another tenant.
     last_answer_at : float
         Boot time of the endpoint's last answer, in seconds.
     avoid_until : float
@@ -299,6 +105,8 @@
         self.queue = AdmissionQueue(endpoint.slots, {}, ENDPOINT_ADMISSION)
         self.idle_connections: list[PooledConnection] = []
         self.open_count = 0
+        self.opening_count = 0
+        self.evicted_count = 0
         self.last_answer_at = float("-inf")
         self.avoid_until = float("-inf")
         self.avoidance_s = 0.0
@@ -387,10 +195,13 @@
         self.relay_load_at = self.clock()
 
     async def acquire(
-        self, wait_s: float, ignore_cap: bool = False
+        self, wait_s: float, ignore_cap: bool = False, tenant: str = ""
     ) -> PooledConnection:
         """Return an idle connection or open one.
 
+        At the cap, or at the endpoint's limit, an idle connection of another tenant is
+        closed first.
+
         Parameters
         ----------
         wait_s : float
@@ -398,6 +209,9 @@
             endpoint accepts no more.
         ignore_cap : bool
             Whether to ignore the cap on connections for callers' statements.
+        tenant : str, optional
+            Tenant whose connections may be used, empty for those opened in the name
+            of the proxy.
 
         Returns
         -------
@@ -410,13 +224,18 @@
             If no connection is free or the endpoint cannot be used.
         """
         give_up_at = self.clock() + min(wait_s, RELEASE_WAIT_LIMIT_S)
+        evicted = False
         while True:
-            if self.idle_connections:
-                return self.idle_connections.pop()
-            capped = not ignore_cap and self._is_capped()
-            if not capped and self.clock() >= self.connect_paused_until:
+            pooled = self._take_idle(tenant)
+            if pooled is not None:
+                return pooled
+            capped = not ignore_cap and self._is_capped(tenant)
+            may_open = not capped and self.clock() >= self.connect_paused_until
+            if not may_open and (capped or not evicted):
+                may_open = evicted = await self._evict()
+            if may_open:
                 try:
-                    return await self._open(wait_s)
+                    return await self._open(wait_s, tenant)
                 except ConnectError as error:
                     if error.failure is not Failure.CONNECTION_LIMIT:
                         self.record_failure(error.reason)
@@ -434,20 +253,53 @@
             with anyio.move_on_after(max(remaining_s, 0.0)):
                 await self.connection_released.wait()
 
-    def _is_capped(self) -> bool:
+    def _take_idle(self, tenant: str) -> PooledConnection | None:
+        """Remove and return the tenant's most recently used idle connection."""
+        for index in range(len(self.idle_connections) - 1, -1, -1):
+            if self.idle_connections[index].tenant == tenant:
+                return self.idle_connections.pop(index)
+        return None
+
+    def _is_capped(self, tenant: str) -> bool:
+        """Return whether the cap allows no further connection.
+
+        Tenants open many connections at once, so those being opened count too.
+        """
         if self.connection_cap is None:
             return False
         cap = self.connection_cap(self.endpoint.group)
-        return cap is not None and self.open_count >= cap
+        opening = self.opening_count if tenant else 0
+        return cap is not None and self.open_count + opening >= cap
+
+    async def _evict(self) -> bool:
+        """Close the least recently used idle connection; return False without one.
 
-    async def _open(self, wait_s: float) -> PooledConnection:
+        It is closed before another one is opened, which the endpoint would refuse.
+        """
+        if not self.idle_connections:
+            return False
+        pooled = self.idle_connections.pop(0)
+        self.open_count -= 1
+        self.evicted_count += 1
+        # The place is taken at once, or else another session would take it meanwhile.
+        self.opening_count += 1
+        try:
+            await pooled.connection.aclose()
+        finally:
+            self.opening_count -= 1
+        return True
+
+    async def _open(self, wait_s: float, tenant: str) -> PooledConnection:
+        self.opening_count += bool(tenant)
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, max(wait_s, 0.001))):
-                connection = await self.connector.connect(self.endpoint)
+                connection = await self.connector.connect(self.endpoint, tenant)
         except TimeoutError:
             raise ConnectError(Failure.BUSY, "opening a connection timed out") from None
+        finally:
+            self.opening_count -= bool(tenant)
         self.open_count += 1
-        return PooledConnection(connection)
+        return PooledConnection(connection, tenant)
 
     def _record_connection_limit(self, reason: str) -> None:
         """Record that the endpoint is alive but accepts no more connections."""
@@ -475,13 +327,13 @@
 
     @contextlib.asynccontextmanager
     async def connection(
-        self, wait_s: float, ignore_cap: bool = False
+        self, wait_s: float, ignore_cap: bool = False, tenant: str = ""
     ) -> AsyncIterator[PooledConnection]:
         """Hold a connection inside a `with` block; raises `ConnectError`.
 
         The connection is closed if the block raises.
         """
-        pooled = await self.acquire(wait_s, ignore_cap)
+        pooled = await self.acquire(wait_s, ignore_cap, tenant)
         try:
             yield pooled
         except BaseException:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -9,12 +9,15 @@
 from rosemaryward.decisions.gateway.environment import Endpoint
 from rosemaryward.decisions.types import Place
 
-__all__ = ["EndpointDirectory", "distance"]
+__all__ = ["RELAY_IDLE_CONNECTION_LIMIT_S", "EndpointDirectory", "distance"]
 
 # Registrations that expired during an outage of the store are back within 2 s.
 REGISTRATION_GRACE_S = 2.5
 # Idle connections count towards the connection limit that all proxies share.
 IDLE_CONNECTION_LIMIT_S = 3.0
+# A relay keeps the connections of many tenants. Opening one takes a slot of the
+# endpoint for 12 ms, so it is not repeated for each statement of a small tenant.
+RELAY_IDLE_CONNECTION_LIMIT_S = 20.0
 
 SAME_DOMAIN_DISTANCE = 0
 SAME_REGION_DISTANCE = 1
@@ -53,6 +56,8 @@
     connection_cap : callable, optional
         Returns how many connections to an endpoint of a group callers' statements
         may use, None for no cap.
+    keeps_idle : callable, optional
+        Returns whether idle connections to an endpoint are kept as at a relay.
 
     Attributes
     ----------
@@ -71,8 +76,10 @@
         connector: Connector,
         clock: Callable[[], float] = boot_time_s,
         connection_cap: Callable[[str], int | None] | None = None,
+        keeps_idle: Callable[[Endpoint], bool] = lambda endpoint: False,
     ) -> None:
         self.connection_cap = connection_cap
+        self.keeps_idle = keeps_idle
         self.connector = connector
         self.clock = clock
         self.endpoints: dict[str, Endpoint] = {}
@@ -134,7 +141,10 @@
                 del self.endpoints[endpoint_id]
                 self.pools.pop(endpoint_id).close()
         for pool in self.pools.values():
-            pool.discard_idle(IDLE_CONNECTION_LIMIT_S)
+            keeps = self.keeps_idle(pool.endpoint)
+            pool.discard_idle(
+                RELAY_IDLE_CONNECTION_LIMIT_S if keeps else IDLE_CONNECTION_LIMIT_S
+            )
 
     def in_group(self, group: str) -> list[Endpoint]:
         """Return the endpoints of a group."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -19,9 +19,9 @@
     Failure,
     UnansweredError,
 )
+from rosemaryward.decisions.gateway.session_context import SessionContext
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
-    PreparedStatement,
     Statement,
     StatementKind,
 )
@@ -48,42 +48,6 @@
 Outcome = TypeVar("Outcome")
 
 
-class SessionContext:
-    """Values, prepared statements and newest commit of one session.
-
-    Parameters
-    ----------
-    caller : str
-        Name of the caller, by which admission queues share slots fairly.
-
-    Attributes
-    ----------
-    values : dict of str to str
-        Session values by name.
-    prepared : dict of str to PreparedStatement
-        Prepared statements by the caller's names.
-    position : LogPosition
-        Newest commit of the session.
-    target : Target, optional
-        Target of the current statement, None until one is selected.
-    """
-
-    __slots__ = ("caller", "position", "prepared", "target", "values")
-
-    def __init__(self, caller: str) -> None:
-        self.caller = caller
-        self.values: dict[str, str] = {}
-        self.prepared: dict[str, PreparedStatement] = {}
-        self.position = LogPosition()
-        self.target: Target | None = None
-
-    def writes(self, statement: Statement) -> bool:
-        """Return whether a statement writes."""
-        if statement.kind is StatementKind.EXECUTE:
-            return self.prepared[statement.name].writes
-        return statement.kind is StatementKind.WRITE
-
-
 class StatementRequest(msgspec.Struct, frozen=True, kw_only=True):
     """Statement with the conditions that determine its target and its deadline.
 
@@ -386,9 +350,8 @@
         """Return a context manager that holds one of the endpoint's slots."""
         rank = Rank(min(request.route.rank, max(Rank)))
         remaining_s = max(request.expires_at - self.clock(), 0.0)
-        return pool.queue.slot(
-            rank, session.caller, request.route.database, remaining_s
-        )
+        share = session.tenant or request.route.database
+        return pool.queue.slot(rank, session.caller, share, remaining_s)
 
     def admission_parameters(
         self,
@@ -401,7 +364,12 @@
         route = request.route
         epoch = 0 if target.record is None else target.record.epoch
         return AdmissionParameters(
-            route.rank, session.caller, route.database, remaining_s, epoch
+            route.rank,
+            session.caller,
+            route.database,
+            remaining_s,
+            epoch,
+            session.tenant,
         )
 
     async def _attempt(
@@ -411,7 +379,9 @@
         try:
             async with self.request_slot(pool, request, session):
                 remaining_s = max(request.expires_at - self.clock(), 0.0)
-                async with pool.connection(remaining_s) as pooled:
+                async with pool.connection(
+                    remaining_s, tenant=session.tenant
+                ) as pooled:
                     return await self.execute(request, session, target, pooled)
         except OverloadError as error:
             raise StatementFailedError(
@@ -471,7 +441,10 @@
                 admission = self.admission_parameters(
                     request, session, target, attempt_s
                 )
-                with self.track_write(request.route.group, writes):
+                with (
+                    self.track_write(request.route.group, writes),
+                    session.sending(),
+                ):
                     answer = await pooled.execute(
                         request.statement, name, target.min_position, admission
                     )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/observer.py
@@ -4,8 +4,8 @@
 
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.outcomes import ConnectionState, Reply
+from rosemaryward.decisions.gateway.session_context import SessionContext
 from rosemaryward.decisions.gateway.statements import Statement
-from rosemaryward.decisions.gateway.targets import Target
 
 __all__ = ["StatementObserver"]
 
@@ -23,7 +23,7 @@
         statement: Statement,
         route: Route,
         endpoint: str,
-        target: Target | None,
+        session: SessionContext,
         reply: Reply,
         took_s: float,
     ) -> None:
@@ -37,8 +37,8 @@
             Route that applied to it.
         endpoint : str
             Endpoint that ran it, empty if the proxy replied alone.
-        target : Target or None
-            Last choice of an endpoint, None if there was none.
+        session : SessionContext
+            Session of the caller, with the last choice of an endpoint and the tenant.
         reply : Reply
             Reply that was sent.
         took_s : float
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -36,6 +36,7 @@
     UNKNOWN_DATABASE = auto()
     MALFORMED = auto()
     TOO_LARGE = auto()
+    UNKNOWN_KEY = auto()
 
 
 NOT_RUN = frozenset(
--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
@@ -0,0 +1,229 @@
+"""Connections to endpoints, and the session context that is set on a pooled one."""
+
+from collections.abc import Awaitable
+from typing import Protocol
+
+from rosemaryward.decisions.gateway.environment import Endpoint
+from rosemaryward.decisions.gateway.outcomes import Answer, UnansweredError
+from rosemaryward.decisions.gateway.statements import (
+    AdmissionParameters,
+    ControlStatement,
+    PreparedStatement,
+    Statement,
+)
+from rosemaryward.decisions.types import LogPosition
+
+__all__ = ["Connection", "Connector", "PooledConnection"]
+
+
+class Connection(Protocol):
+    """Open connection to an endpoint, which runs one statement at a time.
+
+    Every method except `aclose` raises `UnansweredError` if no complete answer
+    arrives. A connection through a relay also raises `ConnectError` if the statement
+    was certainly not run.
+    """
+
+    async def execute(
+        self,
+        statement: Statement,
+        prepared_name: str,
+        min_position: LogPosition | None,
+        admission: AdmissionParameters | None,
+    ) -> Answer:
+        """Run a caller's statement.
+
+        Parameters
+        ----------
+        statement : Statement
+            Statement to run.
+        prepared_name : str
+            Name at the endpoint of the prepared statement to execute, empty for other
+            kinds of statement.
+        min_position : LogPosition, optional
+            Position that the endpoint must have applied.
+        admission : AdmissionParameters, optional
+            Place of the statement in the relay's queue; unused by a direct connection.
+
+        Returns
+        -------
+        Answer
+        """
+
+    async def begin(
+        self,
+        read_only: bool,
+        min_position: LogPosition | None,
+        admission: AdmissionParameters | None,
+    ) -> Answer:
+        """Begin a transaction; parameters as for `execute`."""
+
+    async def roll_back(self) -> Answer:
+        """Roll back the open transaction."""
+
+    async def set_value(self, name: str, value: str) -> Answer:
+        """Set a session value."""
+
+    async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
+        """Prepare a statement under a name."""
+
+    async def reset(self) -> Answer:
+        """Clear all session values and prepared statements."""
+
+    async def run_control(self, control: ControlStatement) -> Answer:
+        """Run a control statement of the proxy."""
+
+    async def aclose(self) -> None:
+        """Close the connection without waiting for the endpoint."""
+
+
+class Connector(Protocol):
+    """Opens and closes connections to endpoints."""
+
+    async def connect(self, endpoint: Endpoint, tenant: str = "") -> Connection:
+        """Connect to an endpoint.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            Endpoint to connect to.
+        tenant : str, optional
+            Tenant that the endpoint is told, empty to tell it the name of the proxy.
+
+        Raises
+        ------
+        ConnectError
+            If the endpoint cannot be used.
+        """
+
+    def discard(self, connection: Connection) -> None:
+        """Schedule the close of a connection, which rolls back its transaction."""
+
+
+class PooledConnection:
+    """Pooled connection with the session context that is set on it.
+
+    Parameters
+    ----------
+    connection : Connection
+        Open connection.
+    tenant : str, optional
+        Tenant that the endpoint was told; the connection is used for no other.
+
+    Attributes
+    ----------
+    values : dict of str to str
+        Session values that are set at the endpoint.
+    prepared : set of str
+        Names of the statements that are prepared at the endpoint.
+    broken : bool
+        Whether the connection must be closed instead of reused.
+    idle_since : float
+        Boot time at which it was last returned to the pool, in seconds.
+    """
+
+    __slots__ = (
+        "broken",
+        "connection",
+        "idle_since",
+        "prepared",
+        "tenant",
+        "values",
+    )
+
+    def __init__(self, connection: Connection, tenant: str = "") -> None:
+        self.connection = connection
+        self.tenant = tenant
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.broken = False
+        self.idle_since = 0.0
+
+    async def execute(
+        self,
+        statement: Statement,
+        prepared_name: str,
+        min_position: LogPosition | None = None,
+        admission: AdmissionParameters | None = None,
+    ) -> Answer:
+        """Run a caller's statement; raises `UnansweredError` or `ConnectError`."""
+        return await self._receive(
+            self.connection.execute(statement, prepared_name, min_position, admission)
+        )
+
+    async def begin(
+        self,
+        read_only: bool,
+        min_position: LogPosition | None,
+        admission: AdmissionParameters | None = None,
+    ) -> Answer:
+        """Begin a transaction; raises `UnansweredError` or `ConnectError`."""
+        return await self._receive(
+            self.connection.begin(read_only, min_position, admission)
+        )
+
+    async def roll_back(self) -> Answer:
+        """Roll back the open transaction; raises `UnansweredError`."""
+        return await self._receive(self.connection.roll_back())
+
+    async def run_control(self, control: ControlStatement) -> Answer:
+        """Run a control statement; raises `UnansweredError`."""
+        return await self._receive(self.connection.run_control(control))
+
+    async def set_session_values(self, values: dict[str, str]) -> None:
+        """Replace the connection's session values.
+
+        Parameters
+        ----------
+        values : dict of str to str
+            Session values by name. If one that is set is not among them, the
+            connection is reset first.
+
+        Raises
+        ------
+        UnansweredError
+            If the endpoint does not confirm a value; the connection is then unusable.
+        """
+        if any(name not in values for name in self.values):
+            await self._confirm(self.connection.reset())
+            self.values = {}
+            self.prepared = set()
+        for name, value in values.items():
+            if self.values.get(name) != value:
+                await self._confirm(self.connection.set_value(name, value))
+                self.values[name] = value
+
+    async def prepare(self, prepared: PreparedStatement) -> str:
+        """Prepare a statement unless it is already prepared.
+
+        Returns
+        -------
+        str
+            Name of the prepared statement at the endpoint.
+
+        Raises
+        ------
+        UnansweredError
+            If the endpoint does not confirm it; the connection is then unusable.
+        """
+        name = f"{'w' if prepared.writes else 'r'}-{prepared.shape}"
+        if name not in self.prepared:
+            await self._confirm(self.connection.prepare(name, prepared))
+            self.prepared.add(name)
+        return name
+
+    async def _receive(self, answer: Awaitable[Answer]) -> Answer:
+        """Await an answer; mark the connection broken unless it is complete."""
+        self.broken = True
+        received = await answer
+        self.broken = False
+        return received
+
+    async def _confirm(self, answer: Awaitable[Answer]) -> None:
+        """Await an answer; raises `UnansweredError` if it reports a failure."""
+        received = await self._receive(answer)
+        if received.failure is not None:
+            self.broken = True
+            raise UnansweredError(
+                f"endpoint refused the session context: {received.reason}"
+            )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -15,6 +15,11 @@
     StatementRequest,
 )
 from rosemaryward.decisions.gateway.observer import StatementObserver
+from rosemaryward.decisions.gateway.operations import (
+    BEGIN_KINDS,
+    OperationRefusedError,
+    SessionOperations,
+)
 from rosemaryward.decisions.gateway.outcomes import (
     Answer,
     ConnectionState,
@@ -23,13 +28,13 @@
 )
 from rosemaryward.decisions.gateway.statements import Statement, StatementKind
 from rosemaryward.decisions.gateway.transactions import Transaction
+from rosemaryward.decisions.tenants import CallerAccess, RefusalCause
 
 __all__ = ["CallerChannel", "CallerSession"]
 
 IDLE = ConnectionState.IDLE
 TRANSACTION = ConnectionState.TRANSACTION
 FAILED_TRANSACTION = ConnectionState.FAILED_TRANSACTION
-BEGIN_KINDS = (StatementKind.BEGIN, StatementKind.BEGIN_READ)
 END_KINDS = (StatementKind.COMMIT, StatementKind.ROLLBACK)
 DISCONNECT_TIMEOUT_S = 1.0  # several round trips between the farthest regions
 
@@ -73,9 +78,13 @@
         Receives the outcomes of the statements.
     clock : callable, optional
         Returns the boot time in seconds.
+    access : CallerAccess, optional
+        Key of the caller; without it, no statement is checked.
 
     Attributes
     ----------
+    operations : SessionOperations
+        Authorizes the statements and counts the operations.
     transaction : Transaction or None
         Open transaction of the caller.
     end_reason : str
@@ -98,10 +107,12 @@
         environment: Callable[[], Environment],
         observer: StatementObserver,
         clock: Callable[[], float] = boot_time_s,
+        access: CallerAccess | None = None,
     ) -> None:
         self.channel = channel
         self.database = database
         self.context = SessionContext(caller)
+        self.operations = SessionOperations(self.context, access)
         self.executor = executor
         self.environment = environment
         self.observer = observer
@@ -149,9 +160,8 @@
                 await self.channel.send(statement, reply)
                 took_s = self.clock() - started_at
                 if route is not None:
-                    target = self.context.target
                     self.observer.answered(
-                        statement, route, endpoint, target, reply, took_s
+                        statement, route, endpoint, self.context, reply, took_s
                     )
                 if statement.kind in BEGIN_KINDS and reply.failure is None:
                     await self._open_transaction_early(statement)
@@ -175,6 +185,7 @@
         if self.transaction is not None:
             await self.transaction.roll_back()
             self.transaction.failed = True
+            self.operations.end_refused()
         with anyio.move_on_after(DISCONNECT_TIMEOUT_S) as scope:
             await self.channel.announce_end(self._refusal())
             while (statement := await self.channel.receive()) is not None:
@@ -190,7 +201,8 @@
         await self.channel.complete_refusal(self.state)
         route = self.environment().routes.get(self.database)
         if route is not None:
-            self.observer.answered(statement, route, "", None, refusal, 0.0)
+            self.context.target = None
+            self.observer.answered(statement, route, "", self.context, refusal, 0.0)
         await self.channel.announce_end(self._refusal())
 
     def _refusal(self) -> Reply:
@@ -252,6 +264,10 @@
         if route is None:
             reason = f"no route for database {self.database}"
             return self._failure_reply(Failure.UNKNOWN_DATABASE, reason), None, ""
+        try:
+            await self._check_operation(statement, route)
+        except OperationRefusedError as error:
+            return await self._refuse_operation(statement, error), route, ""
         if statement.kind is StatementKind.UNREADABLE:
             return self._failure_reply(Failure.MALFORMED, statement.text), route, ""
         if transaction is not None and transaction.failed:
@@ -262,6 +278,8 @@
         try:
             answer, endpoint = await self._forward(statement, route, started_at)
         except StatementFailedError as error:
+            if transaction is None or transaction.failed:
+                self.operations.end_refused()
             if statement.kind is StatementKind.COMMIT:
                 self.transaction = None
             return (
@@ -271,6 +289,40 @@
             )
         return Reply(self.state, answer.rows, answer.signature), route, endpoint
 
+    async def _check_operation(self, statement: Statement, route: Route) -> None:
+        """Authorize a statement, and begin the operation that it is or opens.
+
+        Raises
+        ------
+        OperationRefusedError
+            If the caller may not run it now.
+        """
+        present = self.environment().routes.get(self.database) or route
+        tenant = self.operations.authorize(present.public)
+        if self.transaction is None and self.operations.begins(statement):
+            await self.operations.begin(tenant)
+
+    async def _refuse_operation(
+        self, statement: Statement, error: OperationRefusedError
+    ) -> Reply:
+        """Reply to a refused statement, after its transaction is rolled back."""
+        transaction = self.transaction
+        if transaction is None:
+            return self._failure_reply(error.failure, error.idle_reason)
+        had_failed = transaction.failed
+        transaction.failed = True
+        await transaction.roll_back()
+        self.operations.end_refused()
+        if error.cause is RefusalCause.UNKNOWN_KEY:
+            if statement.kind in END_KINDS:
+                self.transaction = None
+            return self._failure_reply(error.failure, error.reason)
+        if had_failed or statement.kind in END_KINDS:
+            return self._serve_in_failed_transaction(statement)
+        return self._failure_reply(
+            Failure.ROLLED_BACK, f"the transaction was rolled back: {error.reason}"
+        )
+
     def _serve_in_failed_transaction(self, statement: Statement) -> Reply:
         """Reply to a statement of a transaction that can only be rolled back."""
         if statement.kind is StatementKind.ROLLBACK:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -110,6 +110,8 @@
         Time until the statement expires, in seconds.
     epoch : int
         Epoch of the record that makes the endpoint the primary, 0 for a replica.
+    tenant : str
+        Tenant that the statement runs for, empty without one.
     """
 
     rank: int
@@ -117,3 +119,9 @@
     database: str
     remaining_s: float
     epoch: int = 0
+    tenant: str = ""
+
+    @property
+    def share(self) -> str:
+        """Tenant or, without one, database that shares the slots with others."""
+        return self.tenant or self.database
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -57,14 +57,16 @@
         self.connections = []
         self.refuse_connections = None
         self.failures = []  # of the next statements; "lost" runs but is not answered
+        self.events = []  # connections opened for and closed of tenants, in order
 
     def texts(self):
         return [text for _, text in self.ran]
 
 
 class FakeConnection:
-    def __init__(self, instance):
+    def __init__(self, instance, tenant=""):
         self.instance = instance
+        self.tenant = tenant
         self.values = {}
         self.prepared = {}
         self.state = IDLE
@@ -96,6 +98,11 @@
     async def reset(self):
         return await self._query("-", "RESET")
 
+    async def aclose(self):
+        await anyio.lowlevel.checkpoint()
+        self.closed = True
+        self.instance.events.append(("closed", self.tenant))
+
     async def _query(self, request_id, text, min_position=None):
         instance = self.instance
         await anyio.lowlevel.checkpoint()
@@ -155,11 +162,12 @@
         self.instances = {instance.name: instance for instance in instances}
         self.discarded = []
 
-    async def connect(self, endpoint):
+    async def connect(self, endpoint, tenant=""):
         instance = self.instances[endpoint.id]
         if instance.refuse_connections is not None:
             raise ConnectError(instance.refuse_connections, "refused")
-        connection = FakeConnection(instance)
+        connection = FakeConnection(instance, tenant)
+        instance.events.append(("opened", tenant))
         instance.connections.append(connection)
         return connection
 
@@ -198,7 +206,7 @@
     def attempt_failed(self, statement, route, endpoint, reason):
         self.attempts.append((endpoint, reason))
 
-    def answered(self, statement, route, endpoint, target, reply, took_s):
+    def answered(self, statement, route, endpoint, session, reply, took_s):
         self.answers.append((endpoint, reply))
 
     def closed_by_proxy(self, database, state, reason):
@@ -256,7 +264,7 @@
         samples = self.selector.group_samples(GROUP)
         samples.record(self.clock() - age_s, position or self.primary.position)
 
-    def session(self, *texts):
+    def session(self, *texts, access=None):
         channel = FakeCallerChannel(
             [parse_statement(text, n) for n, text in enumerate(texts)]
         )
@@ -268,12 +276,13 @@
             lambda: self.environment,
             self.observer,
             self.clock,
+            access,
         )
         return channel, session
 
-    async def serve(self, *texts):
+    async def serve(self, *texts, access=None):
         """Run statements in one session and return the replies."""
-        channel, session = self.session(*texts)
+        channel, session = self.session(*texts, access=access)
         await session.run()
         return channel.replies
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
@@ -200,8 +200,8 @@
     harness = GatewayHarness()
     original = harness.connector.connect
 
-    async def connect(endpoint):
-        connection = await original(endpoint)
+    async def connect(endpoint, tenant=""):
+        connection = await original(endpoint, tenant)
         execute = connection.execute
 
         async def execute_and_change(statement, prepared_name, min_position, admission):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -182,7 +182,10 @@
                     admission = self.executor.admission_parameters(
                         request, self.session, target, remaining_s
                     )
-                    with self.executor.track_write(self.route.group, commits):
+                    with (
+                        self.executor.track_write(self.route.group, commits),
+                        self.session.sending(),
+                    ):
                         answer = await pooled.execute(statement, name, None, admission)
         except (OverloadError, ConnectError) as error:
             raise StatementFailedError(
@@ -255,7 +258,7 @@
         pool = target.pool
         remaining_s = max(request.expires_at - self.executor.clock(), 0.0)
         try:
-            pooled = await pool.acquire(remaining_s)
+            pooled = await pool.acquire(remaining_s, tenant=self.session.tenant)
         except ConnectError as error:
             raise RetryError(error.reason) from error
         sent_at = self.executor.clock()
@@ -267,9 +270,10 @@
                 admission = self.executor.admission_parameters(
                     request, self.session, target, remaining_s
                 )
-                answer = await pooled.begin(
-                    self.read_only, target.min_position, admission
-                )
+                with self.session.sending():
+                    answer = await pooled.begin(
+                        self.read_only, target.min_position, admission
+                    )
             self.executor.selector.record_answer(target, sent_at, answer)
             if answer.failure is not None:
                 raise RetryError(f"BEGIN failed: {answer.reason}")
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -256,8 +256,11 @@
         self.close_soon = close_soon
         self.leases = itertools.count(1)
 
-    async def connect(self, endpoint: Endpoint) -> Connection:
-        """Return a connection; sends nothing to the relay yet."""
+    async def connect(self, endpoint: Endpoint, tenant: str = "") -> Connection:
+        """Return a connection; sends nothing to the relay yet.
+
+        The relay gets the tenant with the parameters of each statement.
+        """
         return _RelayedConnection(endpoint, self)
 
     def discard(self, connection: Connection) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/selection.py
@@ -64,6 +64,9 @@
         together, or None if that is unknown.
     clock : callable, optional
         Returns the boot time in seconds.
+    pools_per_proxy : callable, optional
+        Returns how many separate pools a proxy has for an endpoint: one for each
+        tenant, as connections are not shared between tenants.
 
     Attributes
     ----------
@@ -84,7 +87,9 @@
         members: MemberDirectory,
         connection_limit: Callable[[str], int | None],
         clock: Callable[[], float] = boot_time_s,
+        pools_per_proxy: Callable[[], int] = lambda: 1,
     ) -> None:
+        self.pools_per_proxy = pools_per_proxy
         self.own_name = own_name
         self.members = members
         self.connection_limit = connection_limit
@@ -97,9 +102,8 @@
     def connections_are_scarce(self, group: str) -> bool:
         """Return whether an endpoint accepts too few connections for all proxies."""
         limit = self.connection_limit(group)
-        return limit is not None and limit < DIRECT_CONNECTIONS_PER_PROXY * len(
-            self.members.alive
-        )
+        pools = len(self.members.alive) * self.pools_per_proxy()
+        return limit is not None and limit < DIRECT_CONNECTIONS_PER_PROXY * pools
 
     def connection_cap(self, group: str) -> int | None:
         """Return how many connections callers' statements may use, None for no cap."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -346,7 +346,10 @@
         try:
             async with (
                 self._slot(pool, request.admission),
-                pool.connection(times.remaining_s(self.service.clock())) as pooled,
+                pool.connection(
+                    times.remaining_s(self.service.clock()),
+                    tenant=request.admission.tenant,
+                ) as pooled,
             ):
                 return await self._execute(pool, pooled, request, times)
         except OverloadError as error:
@@ -362,7 +365,9 @@
         pool = found
         times = self._request_times(request.admission)
         try:
-            pooled = await pool.acquire(request.admission.remaining_s)
+            pooled = await pool.acquire(
+                request.admission.remaining_s, tenant=request.admission.tenant
+            )
         except ConnectError as error:
             return Refused(error.failure, error.reason)
         try:
@@ -462,7 +467,7 @@
     def _slot(self, pool: EndpointPool, admission: AdmissionParameters) -> SlotGrant:
         remaining_s = max(admission.remaining_s - REPLY_MARGIN_S, 0.0)
         rank = Rank(min(admission.rank, max(Rank)))
-        return pool.queue.slot(rank, admission.caller, admission.database, remaining_s)
+        return pool.queue.slot(rank, admission.caller, admission.share, remaining_s)
 
     def _first_slot(
         self, lease: _Lease, admission: AdmissionParameters
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -268,8 +268,8 @@
     pool = harness.relay.pool(harness.relay.primary)
     original = harness.relay.connector.connect
 
-    async def connect(endpoint):
-        connection = await original(endpoint)
+    async def connect(endpoint, tenant=""):
+        connection = await original(endpoint, tenant)
         begin_ = connection.begin
 
         async def begin_and_abandon(*arguments):
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -19,6 +19,7 @@
 __all__ = ["OUTCOMES", "TENANT_LIMIT", "ProxyMetrics"]
 
 TENANT_LIMIT = 200
+LARGEST_TENANTS = 20  # with a series of their own
 OTHER_LABEL = "other"
 OUTCOMES = ("done", "not_run", "unknown", "failed")
 RANKS = ("urgent", "normal", "bulk")
@@ -109,6 +110,12 @@
         )
 
     def _create_state_metrics(self) -> None:
+        self.tenant_operations = self._counter(
+            "tenant_operations_total", "Operations that began, by tenant"
+        )
+        self.tenant_refusals = self._counter(
+            "tenant_refusals_total", "Refused callers and operations, by cause"
+        )
         self.failover_gap = self._histogram(
             "failover_gap_seconds",
             "From the loss of a primary to the first acknowledged write",
@@ -226,6 +233,25 @@
         for outcome, count in outcomes.items():
             self.relayed.set({"outcome": outcome}, count)
 
+    def set_tenant_operations(self, counts: Mapping[str, int]) -> None:
+        """Set the number of operations by tenant.
+
+        The tenants with the most operations have a series each, the others share one.
+        A tenant that leaves the largest ones loses its series.
+        """
+        by_count = sorted(counts, key=lambda name: (-counts[name], name))
+        shown = {name: counts[name] for name in by_count[:LARGEST_TENANTS]}
+        rest = sum(counts[name] for name in by_count[LARGEST_TENANTS:])
+        shown[OTHER_LABEL] = shown.get(OTHER_LABEL, 0) + rest
+        self.tenant_operations.values.clear()
+        for name, count in shown.items():
+            self.tenant_operations.set({"tenant": name}, count)
+
+    def set_tenant_refusals(self, counts: Mapping[str, int]) -> None:
+        """Set the number of refused callers and operations of tenants, by cause."""
+        for cause, count in counts.items():
+            self.tenant_refusals.set({"cause": cause}, count)
+
     def set_caller_connections(self, count: int) -> None:
         """Set the number of open caller connections."""
         self.caller_connections.set({}, count)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -14,10 +14,9 @@
     SettingsError,
 )
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
-from rosemaryward.decisions.gateway.environment import Environment
+from rosemaryward.decisions.gateway.environment import Endpoint, Environment
 from rosemaryward.decisions.gateway.execution import Executor
 from rosemaryward.decisions.gateway.prober import EndpointProber
-from rosemaryward.decisions.gateway.session import CallerSession
 from rosemaryward.decisions.gateway.targets import TargetSelector
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.context import FailoverContext
@@ -50,7 +49,6 @@
 from rosemaryward.operators.metrics import ProxyMetrics
 from rosemaryward.peers.members import MemberClient, MemberServer
 from rosemaryward.peers.relays import RelayClient, RelayServer
-from rosemaryward.platform.callers import LineCallerChannel, LineCallerServer
 from rosemaryward.platform.configuration import (
     CONFIGURATION_KEY,
     REGISTRATION_PREFIX,
@@ -63,6 +61,7 @@
 from rosemaryward.platform.settings import HostSettings, read_settings
 from rosemaryward.platform.store import PlatformStore
 from rosemaryward.proxy.background import run_with_restarts
+from rosemaryward.proxy.platform_callers import CallerService
 from rosemaryward.proxy.platform_keys import (
     FAILOVER_LOCK_KEY,
     FENCE_PREFIX,
@@ -76,6 +75,7 @@
 )
 from rosemaryward.proxy.platform_registration import MemberRegistration
 from rosemaryward.proxy.platform_requests import MemberRequestHandler
+from rosemaryward.proxy.platform_tenants import TenantAccess
 from rosemaryward.proxy.statement_log import StatementLog
 
 __all__ = ["PlatformNode"]
@@ -90,12 +90,9 @@
 TRANSACTION_GRACE_FRACTION = 0.45  # of the grace period, for open transactions
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
-# A database that a configuration has added must be served 3 s later at the latest.
-CONFIGURATION_MAX_AGE_S = 2.5
 # A follower asks every 1.5 s a reader whose own read may be as old as that of a proxy
 # that reads the store, and compares once more 0.5 s later if its watch is behind.
 FOLLOWED_MAX_AGE_S = READER_MAX_READ_AGE_S + 2.5
-CONFIGURATION_TIMEOUT_S = 1.5  # callers give up their start-up after 2 s
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -118,7 +115,6 @@
         self.settings_path = settings_path
         self.incarnation = secrets.token_hex(8)
         self.environment = NO_ENVIRONMENT
-        self.configured = anyio.Event()
         self.metrics = ProxyMetrics(settings.name)
         self.store = PlatformStore(settings.store_address)
         self.connector = LineConnector(settings.name)
@@ -127,11 +123,22 @@
             self.metrics, self.leadership, lambda: self.environment.version
         )
         self.members = MemberDirectory(known_since=boot_time_s())
+        self.tenants = TenantAccess(
+            lambda: self.environment,
+            lambda: self.settings,
+            lambda: self.mirror,
+            self.metrics,
+        )
         self.relay_selector = RelaySelector(
-            settings.name, self.members, self._connection_limit
+            settings.name,
+            self.members,
+            self._connection_limit,
+            pools_per_proxy=lambda: self.tenants.pools_per_proxy,
         )
         self.directory = EndpointDirectory(
-            self.connector, connection_cap=self.relay_selector.connection_cap
+            self.connector,
+            connection_cap=self.relay_selector.connection_cap,
+            keeps_idle=self._keeps_idle_connections,
         )
         self.group_control = LineGroupControl(self.directory)
         self.endpoint_prober = EndpointProber(
@@ -232,10 +239,17 @@
             lambda: self.registration.lease,
             self.mirror.confirm_now,
         )
-        self.sessions: set[CallerSession] = set()
-        self.caller_server = LineCallerServer(
-            settings.caller_address, self._has_route, self._serve_caller
+        self.callers = CallerService(
+            settings.caller_address,
+            lambda: self.environment,
+            self.mirror,
+            self.follower_source,
+            lambda: self.executor,
+            self.statement_log,
+            self.tenants,
         )
+        self.caller_server = self.callers.server
+        self.sessions = self.callers.sessions
         self.supervised_groups: set[str] = set()
         self.is_draining = False
 
@@ -380,55 +394,12 @@
         """Return whether the proxy can serve callers."""
         if self.is_draining or self.environment.version == 0:
             return False
+        if not self.tenants.authorizer.is_ready:
+            return False
         return self.leadership.confirmation_left_s() > MIN_CONFIRMATION_LEFT_S
 
     # Servers
 
-    async def _has_route(self, database: str) -> bool | None:
-        """Return whether a database has a route, None if that is not known.
-
-        A configuration that may be out of date does not tell that a database has
-        none, so the caller waits for a moment.
-        """
-        with anyio.move_on_after(CONFIGURATION_TIMEOUT_S):
-            await self.configured.wait()
-            while (
-                database not in self.environment.routes
-                and self.mirror.age_s() > CONFIGURATION_MAX_AGE_S
-            ):
-                await self.mirror.progressed.wait()
-        if database in self.environment.routes:
-            return True
-        is_current = self.mirror.age_s() <= CONFIGURATION_MAX_AGE_S
-        log.info(
-            "database has no route",
-            database=database,
-            configuration=self.environment.version,
-            revision=self.mirror.revision,
-            age_s=round(self.mirror.age_s(), 3),
-            source=self.follower_source.selected,
-        )
-        return False if self.environment.version and is_current else None
-
-    async def _serve_caller(
-        self, channel: LineCallerChannel, database: str, caller: str
-    ) -> None:
-        session = CallerSession(
-            channel,
-            database,
-            caller,
-            self.executor,
-            lambda: self.environment,
-            self.statement_log,
-        )
-        if self.caller_server.refusal:
-            session.end(self.caller_server.refusal)
-        self.sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self.sessions.discard(session)
-
     def _create_readiness_server(self) -> HttpServer:
         def answer() -> tuple[int, bytes]:
             if self.is_ready():
@@ -441,6 +412,7 @@
         def answer() -> tuple[int, bytes]:
             self.metrics.set_caller_connections(len(self.sessions))
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
+            self.tenants.export_metrics()
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
@@ -478,6 +450,11 @@
         configured = self.environment.groups.get(group)
         return None if configured is None else configured.max_connections
 
+    def _keeps_idle_connections(self, endpoint: Endpoint) -> bool:
+        """Return whether connections of many tenants to an endpoint are kept here."""
+        has_tenants = self.environment.tenants is not None
+        return has_tenants and self.relay_selector.is_relay(endpoint)
+
     def _sync_replicas(self, group: str) -> int:
         """Return how many replicas must receive a commit before it is acknowledged."""
         configured = self.environment.groups.get(group)
@@ -514,7 +491,8 @@
         if environment.version <= self.environment.version:
             return
         self.environment = environment
-        self.configured.set()
+        self.callers.configured.set()
+        self.tenants.report_problems()
         self.metrics.set_tenants(environment.routes)
         self.metrics.set_configuration(environment.version, 0.0)
         log.info(
@@ -575,6 +553,7 @@
             if self._may_have_lost_store():
                 self.directory.mark_outdated()
             self.directory.remove_expired()
+            self.tenants.authorizer.observe_proof()
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
                 for session in list(self.sessions):
--- /dev/null
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
@@ -0,0 +1,145 @@
+"""Tenants at one proxy: authorization, log lines and counters."""
+
+from collections.abc import Callable
+
+import structlog
+
+from rosemaryward.decisions.gateway.environment import Environment
+from rosemaryward.decisions.mirror import StoreMirror
+from rosemaryward.decisions.tenants import (
+    Authorizer,
+    CallerAccess,
+    CallerKey,
+    OperationLimiter,
+    RefusalCause,
+    RevocationProof,
+)
+from rosemaryward.operators.bounded_logs import LogRateLimiter
+from rosemaryward.operators.metrics import ProxyMetrics
+from rosemaryward.platform.line_protocol import ENCODING
+from rosemaryward.platform.settings import HostSettings
+
+__all__ = ["TenantAccess"]
+
+MAX_LOGGED_PROBLEMS = 5  # of one tenant
+REFUSAL_LINES_PER_S = 10.0
+REFUSAL_BURST_LINES = 40.0
+
+log = structlog.get_logger(__name__)
+
+
+class TenantAccess:
+    """Authorization of callers by the configuration and the mirror of this proxy.
+
+    Parameters
+    ----------
+    environment : callable
+        Returns the configuration in force.
+    settings : callable
+        Returns the settings in force.
+    mirror : callable
+        Returns the mirror of the store.
+    metrics : ProxyMetrics
+        Metrics registry of this process.
+    limiter : OperationLimiter, optional
+        Limits the operations of tenants.
+
+    Attributes
+    ----------
+    authorizer : Authorizer
+        Decides for which tenant a caller acts.
+    """
+
+    def __init__(
+        self,
+        environment: Callable[[], Environment],
+        settings: Callable[[], HostSettings],
+        mirror: Callable[[], StoreMirror],
+        metrics: ProxyMetrics,
+        limiter: OperationLimiter | None = None,
+    ) -> None:
+        self.environment = environment
+        self.settings = settings
+        self.mirror = mirror
+        self.metrics = metrics
+        self.limiter = limiter
+        self.authorizer = Authorizer(
+            lambda: environment().tenants,
+            RevocationProof(
+                lambda: mirror().age_s(),
+                self._revocation_bound_s,
+                lambda: environment().version,
+            ),
+        )
+        self.refusal_budget = LogRateLimiter(REFUSAL_LINES_PER_S, REFUSAL_BURST_LINES)
+
+    @property
+    def pools_per_proxy(self) -> int:
+        """Number of separate connection pools that this proxy has for an endpoint."""
+        environment = self.environment()
+        if environment.tenants is None:
+            return 1
+        has_public = any(route.public for route in environment.routes.values())
+        return max(len(environment.tenants.tenants) + has_public, 1)
+
+    def access(self, key: CallerKey) -> CallerAccess:
+        """Return the access of a caller with a key."""
+        return CallerAccess(key, self.authorizer, self.limiter, self.log_refusal)
+
+    def loggable_database(self, database: str) -> str:
+        """Return what to log for a database that has no route.
+
+        With tenants it may be a key, sent by a caller that mixes up the words.
+        """
+        if self.environment().tenants is None:
+            return database
+        return CallerKey(database.encode(ENCODING)).fingerprint
+
+    def log_refusal(self, key: CallerKey, tenant: str, cause: RefusalCause) -> None:
+        """Log a refusal for the sake of its key; the limiter logs its own."""
+        if cause is RefusalCause.RATE_LIMIT:
+            return
+        left_out = self.refusal_budget.take()
+        if left_out is None:
+            return
+        mirror = self.mirror()
+        log.info(
+            "key refused",
+            key=key.fingerprint,
+            tenant=tenant,
+            cause=cause.value,
+            configuration=self.environment().version,
+            revision=mirror.revision,
+            age_s=round(mirror.age_s(), 3),
+            left_out=left_out,
+        )
+
+    def report_problems(self) -> None:
+        """Log each tenant of a new configuration that is not used as listed."""
+        environment = self.environment()
+        if environment.tenants is None:
+            return
+        problems: dict[str, list[str]] = {}
+        for found in environment.tenants.problems:
+            problems.setdefault(found.tenant, []).append(found.problem)
+        for tenant, texts in problems.items():
+            log.warning(
+                "tenant entry invalid",
+                tenant=tenant,
+                problems=texts[:MAX_LOGGED_PROBLEMS],
+                count=len(texts),
+                configuration=environment.version,
+            )
+
+    def export_metrics(self) -> None:
+        """Copy the counters to the registry, if there are tenants."""
+        if self.environment().tenants is None and not self.authorizer.operations:
+            return
+        self.metrics.set_tenant_operations(self.authorizer.operations)
+        self.metrics.set_tenant_refusals(
+            {cause.value: count for cause, count in self.authorizer.refusals.items()}
+        )
+
+    def _revocation_bound_s(self) -> float | None:
+        bounds = self.settings().bounds
+        return bounds.revoke_s if bounds.strict_revoke else None
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
@@ -11,8 +11,8 @@
     Failure,
     Reply,
 )
+from rosemaryward.decisions.gateway.session_context import SessionContext
 from rosemaryward.decisions.gateway.statements import Statement
-from rosemaryward.decisions.gateway.targets import Target
 from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.operators.bounded_logs import LogRateLimiter
 from rosemaryward.operators.metrics import ProxyMetrics
@@ -75,7 +75,7 @@
         statement: Statement,
         route: Route,
         endpoint: str,
-        target: Target | None,
+        session: SessionContext,
         reply: Reply,
         took_s: float,
     ) -> None:
@@ -90,10 +90,10 @@
         if left_out is None:
             return
         record = self.leadership.records.get(route.group)
-        min_position = (
-            None
-            if target is None or target.min_position is None
-            else target.min_position
+        target = session.target
+        min_position = None if target is None else target.min_position
+        owner = (
+            {"tenant": session.tenant, "key": session.caller} if session.tenant else {}
         )
         log.info(
             "statement answered",
@@ -113,6 +113,7 @@
             reason=reply.reason,
             took_s=round(took_s, 4),
             left_out=left_out,
+            **owner,
         )
 
     def closed_by_proxy(
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
@@ -65,7 +65,7 @@
         self.node = PlatformNode(make_settings(self.port), None)
         self.node.executor = self.harness.executor
         self.node.environment = self.harness.environment
-        self.node.configured.set()
+        self.node.callers.configured.set()
         self.removed = False
         monkeypatch.setattr(platform_node, "LOAD_BALANCER_REMOVAL_S", REMOVAL_S)
         monkeypatch.setattr(self.node.registration, "remove", self._remove)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -67,8 +67,8 @@
     """Guards against a final error for a database that was added meanwhile."""
     node = make_configured_node(tmp_path)
     node.mirror.current_at = boot_time_s() - checked_s_ago
-    assert await node._has_route("added") is answer
-    assert await node._has_route("orders") is True
+    assert await node.callers.has_route("added") is answer
+    assert await node.callers.has_route("orders") is True
 
 
 async def test_caller_waits_for_a_configuration_that_is_behind(tmp_path):
@@ -77,7 +77,7 @@
     answers = []
 
     async def ask():
-        answers.append(await node._has_route("added"))
+        answers.append(await node.callers.has_route("added"))
 
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(ask)
@@ -155,5 +155,5 @@
     write_settings(path, STORE_PORT)
     node = PlatformNode(read_settings(path), path)
     node.environment = make_environment("orders")
-    node.configured.set()
+    node.callers.configured.set()
     return node
