--- a/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
@@ -54,6 +54,7 @@
 from rosemaryward.platform import configuration as platform_configuration
 from rosemaryward.platform import settings as platform_settings
 from rosemaryward.platform import store as platform_store
+from rosemaryward.platform import tenants as platform_tenants
 from rosemaryward.proxy.settings import ProxySettings
 
 NAMES = Path(__file__).parents[6] / "docs" / "reference" / "names.txt"
@@ -222,6 +223,7 @@
     ("Fields: etcd watch result", etcd_wire.WatchResult),
     ("Fields: etcd watch message", etcd_wire.WatchMessage),
     ("Fields: platform route", platform_configuration._Route),
+    ("Fields: platform tenant", platform_tenants._Tenant),
     ("Fields: platform service", platform_configuration._Service),
     ("Fields: platform limits", platform_configuration._Limits),
     ("Fields: platform configuration", platform_configuration._Configuration),
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_callers.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_callers.py
@@ -89,7 +89,8 @@
 
     def _is_current(self) -> bool:
         """Return whether the configuration lacks nothing that is old enough."""
-        return self.mirror.age_s() <= CONFIGURATION_MAX_AGE_S
+        bound_s = self.tenants.settings().bounds.config_apply_s
+        return self.mirror.age_s() <= min(CONFIGURATION_MAX_AGE_S, bound_s)
 
     async def has_route(self, database: str) -> bool | None:
         """Return whether a database has a route, None if that is not known.
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
@@ -48,6 +48,8 @@
     ----------
     authorizer : Authorizer
         Decides for which tenant a caller acts.
+    pool_count : int
+        Number of pools in the configuration `counted_environment`.
     """
 
     def __init__(
@@ -71,16 +73,19 @@
                 lambda: environment().version,
             ),
         )
+        self.counted_environment: Environment | None = None
+        self.pool_count = 1
         self.refusal_budget = LogRateLimiter(REFUSAL_LINES_PER_S, REFUSAL_BURST_LINES)
 
     @property
     def pools_per_proxy(self) -> int:
         """Number of separate connection pools that this proxy has for an endpoint."""
         environment = self.environment()
-        if environment.tenants is None:
-            return 1
-        has_public = any(route.public for route in environment.routes.values())
-        return max(len(environment.tenants.tenants) + has_public, 1)
+        # The selection of a relay asks this for each statement.
+        if environment is not self.counted_environment:
+            self.counted_environment = environment
+            self.pool_count = _count_pools(environment)
+        return self.pool_count
 
     def access(self, key: CallerKey) -> CallerAccess:
         """Return the access of a caller with a key."""
@@ -143,3 +148,11 @@
     def _revocation_bound_s(self) -> float | None:
         bounds = self.settings().bounds
         return bounds.revoke_s if bounds.strict_revoke else None
+
+
+def _count_pools(environment: Environment) -> int:
+    """Return the number of tenants, and one more if a route needs none."""
+    if environment.tenants is None:
+        return 1
+    has_public = any(route.public for route in environment.routes.values())
+    return max(len(environment.tenants.tenants) + has_public, 1)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
@@ -19,6 +19,7 @@
 
 __all__ = ["StatementLog"]
 
+REFUSALS = NOT_RUN | {Failure.ROLLED_BACK, Failure.UNKNOWN_KEY}
 UNKNOWN_OUTCOMES = frozenset({Failure.IN_DOUBT, Failure.TIMED_OUT})
 SUCCESS_LINES_PER_S = 5.0
 SUCCESS_BURST_LINES = 20.0
@@ -134,6 +135,6 @@
     def _outcome(self, failure: Failure | None) -> str:
         if failure is None:
             return "done"
-        if failure in NOT_RUN or failure is Failure.ROLLED_BACK:
+        if failure in REFUSALS:
             return "not_run"
         return "unknown" if failure in UNKNOWN_OUTCOMES else "failed"
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
@@ -202,6 +202,38 @@
     assert node.is_ready() is ready
 
 
+@pytest.mark.parametrize(
+    ("tenants", "public", "pools"),
+    [
+        pytest.param(None, ("stale",), 1, id="without-tenants"),
+        pytest.param({}, (), 1, id="no-tenant"),
+        pytest.param(ACME | {"b": []}, (), 2, id="tenants"),
+        pytest.param(ACME | {"b": []}, ("stale",), 3, id="tenants-and-public"),
+    ],
+)
+def test_pools_follow_the_configuration(tmp_path, tenants, public, pools):
+    """Guards against relays that are not used after tenants were added."""
+    node = make_node(tmp_path)
+    assert node.relay_selector.pools_per_proxy() == 1
+    node.environment = decode_environment(configure(1, tenants, public))
+    assert node.relay_selector.pools_per_proxy() == pools
+
+
+async def test_key_is_not_refused_for_good_before_the_configuration_applies(tmp_path):
+    """Guards against ignoring a bound that is shorter than the usual age."""
+    path = tmp_path / "host.json"
+    bounds = {"config_apply_ms": 1000}
+    path.write_bytes(
+        encode_settings("host-1", ("north", "a"), free_ports(5), 1, 1, bounds)
+    )
+    node = PlatformNode(read_settings(path), path)
+    apply(node, tenants=ACME)
+    set_age(node, 1.2)
+    assert await start_up(node, "primary", "x") is Failure.BUSY
+    set_age(node, 0.2)
+    assert await start_up(node, "primary", "x") is Failure.UNKNOWN_KEY
+
+
 def test_misplaced_key_is_not_logged(tmp_path):
     """Guards against a key in the line about a database without a route."""
     node = make_node(tmp_path)
