--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_tenant_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_tenant_relays.py
@@ -37,6 +37,27 @@
     assert [connection.tenant for connection in connections] == ["acme", "other"]
 
 
+async def test_relay_evicts_connections_at_its_cap():
+    """Guards against a relay that exceeds the limit, or refuses its fourth tenant."""
+    keys = {f"t{n}": f"key-{n}" for n in range(4)}
+    harness = RelayedTenantHarness(tenants=keys)
+    pool = harness.relay.pool(harness.relay.primary)
+    pool.connection_cap = lambda group: 2
+    for name in ("t0", "t1", "t2", "t1", "t3"):
+        replies = await harness.serve_steps(
+            "WRITE k v", "BEGIN", "COMMIT", key=keys[name]
+        )
+        assert [reply.failure for reply in replies] == [None] * 3
+    assert harness.relay.primary.events == [
+        ("opened", "t0"),
+        ("opened", "t1"),
+        ("closed", "t0"),
+        ("opened", "t2"),
+        ("closed", "t2"),
+        ("opened", "t3"),
+    ]
+
+
 async def test_relay_gets_the_tenant_and_no_key():
     """Guards against a key in a message to another host."""
     harness = RelayedTenantHarness()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
@@ -26,6 +26,7 @@
 from rosemaryward.proxy.platform_node import PlatformNode
 
 GROUP = "orders"
+MAX_CONNECTIONS = 10
 KEY = "secret-key-of-acme"
 OTHER_KEY = "secret-key-of-other"
 NEW_KEY = "secret-key-added-later"
@@ -50,12 +51,10 @@
                 return ports
 
 
-def make_node(tmp_path, strict=True, revoke_ms=REVOKE_S * 1000):
-    path = tmp_path / "host.json"
+def make_node(tmp_path, strict=True, revoke_ms=REVOKE_S * 1000, name="host-1"):
+    path = tmp_path / f"{name}.json"
     bounds = {"strict_revoke": strict, "revoke_ms": revoke_ms}
-    path.write_bytes(
-        encode_settings("host-1", ("north", "a"), free_ports(5), 1, 1, bounds)
-    )
+    path.write_bytes(encode_settings(name, ("north", "a"), free_ports(5), 1, 1, bounds))
     return PlatformNode(read_settings(path), path)
 
 
@@ -63,7 +62,9 @@
     entries = None
     if tenants is not None:
         entries = [{"name": name, "api_keys": keys} for name, keys in tenants.items()]
-    return encode_configuration(version, GROUP, 10, tenants=entries, public=public)
+    return encode_configuration(
+        version, GROUP, MAX_CONNECTIONS, tenants=entries, public=public
+    )
 
 
 def apply(node, **configuration):
@@ -285,14 +286,17 @@
 
 
 class Deployment:
-    """One proxy with its store and replication group, all in this process."""
+    """Proxies with their store and replication group, all in this process."""
 
-    def __init__(self, tmp_path, monkeypatch):
+    def __init__(self, tmp_path, monkeypatch, hosts=1):
         self.store = FakeStore()
-        self.group = FakeGroup(GROUP, [("north", "a"), ("north", "b")], 10, 0.001)
-        self.node = make_node(tmp_path)
-        host, port = self.node.settings.caller_address.split(":")
-        self.address = (host, int(port))
+        self.group = FakeGroup(
+            GROUP, [("north", "a"), ("north", "b")], MAX_CONNECTIONS, 0.001
+        )
+        self.nodes = [
+            make_node(tmp_path, name=f"host-{number}") for number in range(1, hosts + 1)
+        ]
+        self.node = self.nodes[0]
         self.version = 0
         app = self.store.create_app(lambda key, value: value)
 
@@ -308,9 +312,16 @@
             key = REGISTRATION_PREFIX + instance.name
             self.store.put(key, self.group.encode_registration(instance))
         tasks.start_soon(self.store.expire_leases)
-        tasks.start_soon(self.node.run, anyio.Event())
-        await until(self.node.is_ready, 20.0)
-        await until(lambda: self.node.leadership.primary(GROUP) is not None, 20.0)
+        for node in self.nodes:
+            tasks.start_soon(node.run, anyio.Event())
+        await until(lambda: all(map(self.is_serving, self.nodes)), 20.0)
+
+    def is_serving(self, node):
+        """Return whether a proxy is ready, and knows the primary and all proxies."""
+        knows_all = len(node.members.alive) == len(self.nodes)
+        return (
+            node.is_ready() and knows_all and node.leadership.primary(GROUP) is not None
+        )
 
     def configure(self, **tenants):
         self.version += 1
@@ -321,8 +332,9 @@
         self.configure(**tenants)
         await until(lambda: self.node.environment.version == self.version)
 
-    def caller(self, key, database="primary"):
-        return FakeCaller(self.address, database, key)
+    def caller(self, key, database="primary", node=None):
+        host, port = (node or self.node).settings.caller_address.split(":")
+        return FakeCaller((host, int(port)), database, key)
 
     def told(self):
         return [run.who for run in self.group.executed_statements]
@@ -400,3 +412,44 @@
         deployment.store.is_unavailable = False
         await until(lambda: deployment.node.tenants.authorizer.is_ready)
         assert (await caller.query("READ k", 2.0)).code == ""
+
+
+async def test_two_hosts_share_the_connections_of_a_relay(tmp_path, monkeypatch):
+    """Guards against hosts of a small fleet that exceed an instance's limit."""
+    deployment = Deployment(tmp_path, monkeypatch, hosts=2)
+    tenants = {f"tenant-{n}": [f"secret-key-{n}"] for n in range(MAX_CONNECTIONS + 2)}
+    deployment.configure(**tenants)
+    primary = deployment.group.primary
+    most = 0
+    codes = []
+
+    async def use(node, tenant):
+        nonlocal most
+        async with deployment.caller(tenants[tenant][0], node=node) as caller:
+            for text in ("WRITE k v", "BEGIN", f"WRITE k {tenant}", "COMMIT"):
+                codes.append((await caller.query(text, 2.0)).code)
+                most = max(most, len(primary.connections))
+
+    async with anyio.create_task_group() as tasks:
+        await deployment.run(tasks)
+        for _ in range(2):
+            for tenant in tenants:
+                async with anyio.create_task_group() as callers:
+                    for node in deployment.nodes:
+                        callers.start_soon(use, node, tenant)
+        pools = [node.directory.pools[primary.name] for node in deployment.nodes]
+        evicted = sorted(pool.evicted_count for pool in pools)
+        is_relay = [
+            node.relay_selector.is_relay(node.directory.endpoints[primary.name])
+            for node in deployment.nodes
+        ]
+        tasks.cancel_scope.cancel()
+    assert set(codes) == {""}
+    assert sorted(is_relay) == [False, True]
+    assert evicted[0] == 0
+    assert evicted[1] > 0
+    assert most <= MAX_CONNECTIONS
+    for run in deployment.group.executed_statements:
+        expected = run.text.removeprefix("WRITE k ")
+        assert run.who in tenants
+        assert expected not in tenants or run.who == expected
