--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/statement_log.py
@@ -11,14 +11,15 @@
     Failure,
     Reply,
 )
+from rosemaryward.decisions.gateway.session_context import SessionContext
 from rosemaryward.decisions.gateway.statements import Statement
-from rosemaryward.decisions.gateway.targets import Target
 from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.operators.bounded_logs import LogRateLimiter
 from rosemaryward.operators.metrics import ProxyMetrics
 
 __all__ = ["StatementLog"]
 
+REFUSALS = NOT_RUN | {Failure.ROLLED_BACK, Failure.UNKNOWN_KEY}
 UNKNOWN_OUTCOMES = frozenset({Failure.IN_DOUBT, Failure.TIMED_OUT})
 SUCCESS_LINES_PER_S = 5.0
 SUCCESS_BURST_LINES = 20.0
@@ -75,7 +76,7 @@
         statement: Statement,
         route: Route,
         endpoint: str,
-        target: Target | None,
+        session: SessionContext,
         reply: Reply,
         took_s: float,
     ) -> None:
@@ -90,10 +91,10 @@
         if left_out is None:
             return
         record = self.leadership.records.get(route.group)
-        min_position = (
-            None
-            if target is None or target.min_position is None
-            else target.min_position
+        target = session.target
+        min_position = None if target is None else target.min_position
+        owner = (
+            {"tenant": session.tenant, "key": session.caller} if session.tenant else {}
         )
         log.info(
             "statement answered",
@@ -113,6 +114,7 @@
             reason=reply.reason,
             took_s=round(took_s, 4),
             left_out=left_out,
+            **owner,
         )
 
     def closed_by_proxy(
@@ -133,6 +135,6 @@
     def _outcome(self, failure: Failure | None) -> str:
         if failure is None:
             return "done"
-        if failure in NOT_RUN or failure is Failure.ROLLED_BACK:
+        if failure in REFUSALS:
             return "not_run"
         return "unknown" if failure in UNKNOWN_OUTCOMES else "failed"
