Find the readers of a large fleet in a small value, and confirm through them

Cause: each process of a fleet that restarts listed all members twice, once to find its readers and once to see itself registered, over the link between regions for half of them.

The holder of the failover lock publishes the readers. A process that has registered is confirmed by a reader, which reads the store again for a process that its last read lacks. The confirmation is unchanged: it dates from a read that showed the process as live.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -39,6 +39,11 @@
 # Shorter than a new process takes to acquire the failover lock.
 MAX_BRIDGED_OUTAGE_S = 10.0
 RELAYED_MAX_AGE_S = 3.0  # of the store's last answer to another member
+# A reader that is asked by a process it does not know reads the store again, unless it
+# has just done so. All processes that start within this time share the read.
+MIN_READ_INTERVAL_S = 0.1
+REGISTRATION_POLL_S = 0.1
+REGISTRATION_WAIT_S = 1.0  # longer than a reader takes to read the store twice
 
 log = structlog.get_logger(__name__)
 
@@ -66,6 +71,9 @@
         Called with the incarnation of each process that requests a confirmation.
     reader_failures : ReaderFailures, optional
         Readers that are not asked, because they failed recently.
+    read_store_soon : callable, optional
+        Requests a read of the store, because a process asks that the last one did
+        not show.
 
     Attributes
     ----------
@@ -92,7 +100,9 @@
         directory: MemberDirectory | None = None,
         on_request: Callable[[str], None] | None = None,
         reader_failures: ReaderFailures | None = None,
+        read_store_soon: Callable[[], None] | None = None,
     ) -> None:
+        self.read_store_soon = read_store_soon
         self.reader_failures = reader_failures or ReaderFailures(clock)
         self.on_request = on_request
         self.directory = directory or MemberDirectory(clock)
@@ -154,6 +164,8 @@
         registered = self._contains(self.members, request.incarnation)
         if self.on_request is not None:
             self.on_request(request.incarnation)
+        if not registered and not self._is_absent(request.incarnation):
+            self._request_read()
         records = {
             group: (record, leadership.revisions[group])
             for group, record in leadership.records.items()
@@ -167,6 +179,19 @@
             incarnation=self.incarnation,
         )
 
+    def _is_absent(self, incarnation: str) -> bool:
+        """Return whether a process is known to have lost its liveness key."""
+        return any(
+            member.incarnation == incarnation and name not in self.directory.alive
+            for name, member in self.directory.members.items()
+        )
+
+    def _request_read(self) -> None:
+        """Request a read of the store, unless one was sent just now."""
+        is_due = self.clock() - self.read_at >= MIN_READ_INTERVAL_S
+        if is_due and self.read_store_soon is not None:
+            self.read_store_soon()
+
     @contextlib.contextmanager
     def track_change(self) -> Iterator[None]:
         """Count a change of primary for as long as the context is open."""
@@ -188,6 +213,25 @@
         is_restored = generation_of(self.revision) < self.leadership.generation
         return self.changes_in_progress > 0 or is_restored
 
+    async def confirm_registration(self) -> StoreRead | None:
+        """Confirm the records through a reader that first has to see this process.
+
+        Returns
+        -------
+        StoreRead or None
+            Read of the reader, None if this process has to read the store itself.
+        """
+        give_up_at = self.clock() + REGISTRATION_WAIT_S
+        while self.clock() < give_up_at:
+            readers = self._readers_after_registration()
+            if all(self.reader_failures.is_avoided(reader.name) for reader in readers):
+                return None
+            read = await self._confirm_through(readers)
+            if read is not None:
+                return read
+            await anyio.sleep(REGISTRATION_POLL_S)
+        return None
+
     async def confirm_through_reader(self) -> StoreRead | None:
         """Confirm the records through a reader of this process's failure domain.
 
@@ -196,7 +240,13 @@
         StoreRead or None
             Read of the reader, None if this process has to read the store itself.
         """
-        for reader in self._readers():
+        return await self._confirm_through(self._readers())
+
+    async def _confirm_through(
+        self, readers: Iterable[MemberRecord]
+    ) -> StoreRead | None:
+        """Confirm the records through the first reader whose read is recent."""
+        for reader in readers:
             if self.reader_failures.is_avoided(reader.name):
                 continue
             asked_at = self.clock()
@@ -230,6 +280,14 @@
         """Return whether another member has passed on a recent answer of the store."""
         return self.clock() - self.relayed_at < RELAYED_MAX_AGE_S
 
+    def _readers_after_registration(self) -> list[MemberRecord]:
+        """Return the readers to ask before this process is seen as a live member."""
+        for member in self.directory.members.values():
+            if member.incarnation == self.incarnation:
+                domain = member.place.failure_domain
+                return readers_to_follow(self.directory, member.name, domain)
+        return []
+
     def _readers(self) -> list[MemberRecord]:
         """Return the readers that this process asks, empty if it reads itself.
 
@@ -256,7 +314,8 @@
         while True:
             await anyio.sleep(CHECK_INTERVAL_S)
             now = self.clock()
-            if not self.members or self._is_recently_confirmed(now):
+            was_confirmed = self.members or self.relayed_at > float("-inf")
+            if not was_confirmed or self._is_recently_confirmed(now):
                 confirmed_by_members = False
                 continue
             source = await self.confirm_through_members()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/readers.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/readers.py
@@ -6,15 +6,65 @@
 
 from collections.abc import Iterable
 
+import msgspec
+
 from rosemaryward.decisions.hashing import stable_hash
 from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
 
-__all__ = ["all_members_read_store", "readers_in_domain", "readers_to_follow"]
+__all__ = [
+    "ReaderAddress",
+    "ReaderList",
+    "all_members_read_store",
+    "readers_in_domain",
+    "readers_of_fleet",
+    "readers_to_follow",
+]
 
 READERS_PER_DOMAIN = 2
 SMALL_FLEET_MAX_MEMBERS = 12  # up to this size, every member reads the store
 
 
+class ReaderAddress(msgspec.Struct, frozen=True):
+    """Reader that a proxy which has just started may ask.
+
+    Parameters
+    ----------
+    name : str
+        Name of the proxy.
+    address : str
+        ``host:port`` for requests from other members.
+    domain : str
+        Failure domain of the proxy.
+    """
+
+    name: str
+    address: str
+    domain: str
+
+
+class ReaderList(msgspec.Struct, frozen=True):
+    """Readers of a large fleet, as published in the store.
+
+    A proxy that starts finds its readers in this small value. A list of all members
+    would cross the link between regions once for each proxy of a fleet that restarts.
+
+    Parameters
+    ----------
+    readers : tuple of ReaderAddress
+        Readers of all failure domains.
+    """
+
+    readers: tuple[ReaderAddress, ...]
+
+    def in_domain(self, domain: str) -> list[ReaderAddress]:
+        """Return the readers of a failure domain."""
+        return [reader for reader in self.readers if reader.domain == domain]
+
+    def includes(self, name: str) -> bool:
+        """Return whether a proxy is one of the readers."""
+        return any(reader.name == name for reader in self.readers)
+
+
 def all_members_read_store(members: Iterable[MemberRecord]) -> bool:
     """Return whether the fleet is small enough for every member to read the store."""
     return sum(1 for _ in members) <= SMALL_FLEET_MAX_MEMBERS
@@ -63,3 +113,31 @@
     if any(reader.name == name for reader in readers):
         return []
     return readers[::-1] if stable_hash(name) % 2 else readers
+
+
+def readers_of_fleet(members: MemberDirectory) -> ReaderList | None:
+    """Return the readers to publish.
+
+    Parameters
+    ----------
+    members : MemberDirectory
+        Registered and live members.
+
+    Returns
+    -------
+    ReaderList or None
+        None for a small fleet, and while a failure domain has no live member.
+    """
+    registered = list(members.members.values())
+    live = members.live_members()
+    domains = sorted({member.place.failure_domain for member in registered})
+    readers = [readers_in_domain(live, domain) for domain in domains]
+    if all_members_read_store(registered) or not all(readers):
+        return None
+    return ReaderList(
+        tuple(
+            ReaderAddress(member.name, member.address, member.place.failure_domain)
+            for in_domain in readers
+            for member in in_domain
+        )
+    )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_readers.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_readers.py
@@ -2,18 +2,21 @@
 
 from rosemaryward.decisions.gateway.tests.fakes import GROUP, FakeClock, make_record
 from rosemaryward.decisions.leadership.confirmation import (
+    MIN_READ_INTERVAL_S,
     READER_MAX_READ_AGE_S,
     WATCH_PAUSE_S,
     Confirmation,
 )
 from rosemaryward.decisions.leadership.members import (
     ConfirmationReply,
+    ConfirmationRequest,
     MemberDirectory,
     MemberRecord,
 )
 from rosemaryward.decisions.leadership.readers import (
     SMALL_FLEET_MAX_MEMBERS,
     readers_in_domain,
+    readers_of_fleet,
     readers_to_follow,
 )
 from rosemaryward.decisions.leadership.records import Leadership
@@ -138,3 +141,93 @@
     fleet.answer("proxy-0")
     read = await fleet.confirmation.confirm_through_reader()
     assert (read is None) == bool(failed)
+
+
+class RestartedFleet(LargeFleet):
+    """Large fleet that has restarted; no liveness key is in the store yet."""
+
+    def __init__(self):
+        super().__init__()
+        for number in range(SMALL_FLEET_MAX_MEMBERS + 2):
+            self.members.mark_absent(f"proxy-{number}")
+
+
+async def test_registration_is_confirmed_by_a_reader_that_reads_the_store_again():
+    """Guards against a listing of all members by each process of a new fleet."""
+    fleet = RestartedFleet()
+    fleet.answer("proxy-4", registered=False)
+    fleet.answer("proxy-0", registered=False)
+    asked = []
+    request = fleet.peers.request_confirmation
+
+    async def see_the_process_at_the_third_request(member, message):
+        asked.append(member.name)
+        if len(asked) == 3:
+            fleet.answer(member.name)
+        return await request(member, message)
+
+    fleet.peers.request_confirmation = see_the_process_at_the_third_request
+    read = await fleet.confirmation.confirm_registration()
+    assert read is not None
+    assert fleet.confirmation.leadership.is_confirmed()
+
+
+@pytest.mark.parametrize(
+    "fleet",
+    [
+        pytest.param(RestartedFleet(), id="readers-do-not-answer"),
+        pytest.param(LargeFleet(SMALL_FLEET_MAX_MEMBERS), id="small-fleet"),
+    ],
+)
+async def test_registration_is_confirmed_by_the_store_without_a_reader(fleet):
+    """Guards against a process that waits for readers that are gone."""
+    started_at = fleet.clock.now
+    assert await fleet.confirmation.confirm_registration() is None
+    assert fleet.clock.now == started_at
+
+
+@pytest.mark.parametrize(
+    ("incarnation", "alive", "age_s", "reads"),
+    [
+        pytest.param("inc-new", True, 1.0, 1, id="unknown-process"),
+        pytest.param("inc-proxy-3", True, 1.0, 1, id="not-in-the-last-read"),
+        pytest.param("inc-proxy-3", True, MIN_READ_INTERVAL_S / 2, 0, id="just-read"),
+        pytest.param("inc-proxy-3", False, 1.0, 0, id="lost-its-liveness-key"),
+    ],
+)
+def test_reader_reads_the_store_for_a_process_that_it_has_not_seen(
+    incarnation, alive, age_s, reads
+):
+    """Guards against a read for each request of a process that the store turns away."""
+    fleet = LargeFleet()
+    requested = []
+    fleet.confirmation.read_store_soon = lambda: requested.append(fleet.clock.now)
+    if not alive:
+        fleet.members.mark_absent("proxy-3")
+    fleet.confirmation.record_read(fleet.clock(), [member(2)])
+    fleet.clock.now += age_s
+    fleet.confirmation.reply(ConfirmationRequest(incarnation))
+    assert len(requested) == reads
+
+
+@pytest.mark.parametrize(
+    ("size", "absent", "names"),
+    [
+        pytest.param(14, (), ["proxy-0", "proxy-4", "proxy-1", "proxy-3"], id="large"),
+        pytest.param(12, (), None, id="small"),
+        pytest.param(14, range(1, 14, 2), None, id="domain-without-a-live-member"),
+    ],
+)
+def test_published_readers(size, absent, names):
+    """Guards against a list that sends a whole failure domain to no reader."""
+    fleet = LargeFleet(size)
+    for number in absent:
+        fleet.members.mark_absent(f"proxy-{number}")
+    published = readers_of_fleet(fleet.members)
+    if names is None:
+        assert published is None
+        return
+    assert {reader.name for reader in published.in_domain("a")} == set(names[:2])
+    assert len(published.in_domain("b")) == 2
+    assert published.includes("proxy-0")
+    assert not published.includes("proxy-2")
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -30,6 +30,7 @@
 WATCH_WAIT_S = 20.0
 CONFIRM_INTERVAL_S = 1.5
 WATCH_CATCH_UP_S = 0.5  # a watch still behind after this time has missed changes
+REGISTRATION_WAIT_S = 0.5  # a read before this process is registered confirms nothing
 
 log = structlog.get_logger(__name__)
 
@@ -70,6 +71,9 @@
 
     Attributes
     ----------
+    confirm_registration : callable
+        Like `confirm_through_reader`, for a process that has just registered and that
+        the other process may not have seen yet.
     generation : int
         Generation of the newest read of the store, -1 before the first one.
     restore_listeners : list of callable
@@ -115,6 +119,9 @@
         source: MirrorSource | None = None,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
+        self.confirm_registration: Callable[[], Awaitable[StoreRead | None]] = (
+            _no_reader
+        )
         self.restore_listeners: list[Callable[[int], None]] = []
         self.generation = -1
         self.confirm_through_reader = confirm_through_reader or _no_reader
@@ -175,7 +182,7 @@
         return self.clock() - self.current_at
 
     def confirm_now(self) -> None:
-        """Read the confirmed prefix now, not only at the next interval."""
+        """Confirm the prefix now, not only at the next interval."""
         self.confirm_requested.set()
 
     async def _follow_changes(self) -> None:
@@ -209,10 +216,14 @@
         """Confirm the prefix and check the watch at a fixed interval."""
         await self.loaded.wait()
         # The first read shows whether this process is registered.
-        read_store_next = True
+        await self._confirm_requested_within(REGISTRATION_WAIT_S)
+        requested = True
         while True:
             began_at = self.clock()
-            read = None if read_store_next else await self.confirm_through_reader()
+            if requested:
+                read = await self.confirm_registration()
+            else:
+                read = await self.confirm_through_reader()
             if read is None:
                 try:
                     read = await self._read_confirmed()
@@ -221,12 +232,12 @@
                     await anyio.sleep(self.retry.next_pause_s())
                     continue
             self._compare(read)
-            read_store_next = await self._confirm_requested_within(WATCH_CATCH_UP_S)
-            if read_store_next:
+            requested = await self._confirm_requested_within(WATCH_CATCH_UP_S)
+            if requested:
                 continue
             self._check_watch(read)
             pause_s = began_at + CONFIRM_INTERVAL_S - self.clock()
-            read_store_next = await self._confirm_requested_within(pause_s)
+            requested = await self._confirm_requested_within(pause_s)
 
     async def _read_confirmed(self) -> StoreRead:
         """Read the confirmed prefix; raises `StoreError`."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -287,3 +287,41 @@
     await mirror.reload()
     assert seen == [(1, 1)]
     assert subscriber.changes == [("c/a", 11), ("c/a", make_revision(1, 6))]
+
+
+async def test_first_read_follows_the_registration():
+    """Guards against a first read that cannot show this process, which delays it."""
+    store = Store()
+    reads = []
+    mirror = StoreMirror(
+        store, {}, "c/", lambda sent_at, listing: reads.append(listing.revision)
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await mirror.loaded.wait()
+        store.put("c/registration", b"1")
+        mirror.confirm_now()
+        await until(lambda: reads)
+        tasks.cancel_scope.cancel()
+    assert reads == [store.revision]
+
+
+async def test_registration_that_a_reader_confirms_needs_no_read():
+    """Guards against store reads by every process of a fleet that restarts."""
+    store = Store()
+    reads = []
+    mirror = StoreMirror(
+        store, {}, "c/", lambda sent_at, listing: reads.append(sent_at)
+    )
+
+    async def confirm_registration():
+        return StoreRead(store.revision, 3.0)
+
+    mirror.confirm_registration = confirm_registration
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await mirror.loaded.wait()
+        mirror.confirm_now()
+        await until(lambda: mirror.current_at == 3.0)
+        tasks.cancel_scope.cancel()
+    assert not reads
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -15,6 +15,7 @@
     "FAILOVER_LOCK_KEY",
     "GROUP_PREFIX",
     "MEMBER_PREFIX",
+    "READERS_KEY",
     "REPLICA_SET_PREFIX",
     "RecordSubscriber",
     "StoreRecordWriter",
@@ -27,6 +28,7 @@
 REPLICA_SET_PREFIX = FLEET_PREFIX + "replica-sets/"
 FENCE_PREFIX = "rosemaryward-fences/"
 FAILOVER_LOCK_KEY = "rosemaryward-duty"
+READERS_KEY = "rosemaryward-readers"
 
 log = structlog.get_logger(__name__)
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -1,6 +1,5 @@
 """Composition root of a proxy that runs on the users' platform."""
 
-import functools
 import secrets
 from pathlib import Path
 
@@ -30,7 +29,6 @@
     MemberRecord,
     ReleaseRequest,
 )
-from rosemaryward.decisions.leadership.readers import readers_to_follow
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord, ReplicaSets
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
@@ -38,7 +36,6 @@
     READER_MAX_READ_AGE_S,
     STORE_SOURCE,
     FollowerSource,
-    Reader,
     ReaderFailures,
     StoredValue,
     StoreMirror,
@@ -70,10 +67,12 @@
     GROUP_PREFIX,
     LIVENESS_PREFIX,
     MEMBER_PREFIX,
+    READERS_KEY,
     REPLICA_SET_PREFIX,
     RecordSubscriber,
     StoreRecordWriter,
 )
+from rosemaryward.proxy.platform_readers import ReaderDirectory
 from rosemaryward.proxy.platform_registration import MemberRegistration
 from rosemaryward.proxy.platform_requests import MemberRequestHandler
 from rosemaryward.proxy.statement_log import StatementLog
@@ -184,6 +183,7 @@
             directory=self.members,
             on_request=self._record_confirmation_request,
             reader_failures=self.reader_failures,
+            read_store_soon=lambda: self.mirror.confirm_now(),
         )
         self.failover_lock.wait_until_stopped = self.confirmation.wait_for_changes
         self.fence_reports = FenceReports(self.store, FENCE_PREFIX)
@@ -210,8 +210,17 @@
             self.confirmation,
             StoreRetry(self.confirmation.is_relayed),
         )
+        self.reader_directory = ReaderDirectory(
+            settings.name,
+            settings.place,
+            self.store,
+            self.members,
+            self.peers,
+            self.failover_lock,
+            self._refresh_members,
+        )
         self.follower_source = FollowerSource(
-            self.store, self._readers, self.reader_failures
+            self.store, self.reader_directory.readers, self.reader_failures
         )
         self.mirror = StoreMirror(
             self.store,
@@ -222,6 +231,7 @@
             self.confirmation.watch_pause_s,
             self.follower_source,
         )
+        self.mirror.confirm_registration = self.confirmation.confirm_registration
         self.mirror.restore_listeners.append(self._observe_restore)
         self.mirror.retry = StoreRetry(self.confirmation.is_relayed)
         self.liveness_delegate = LivenessDelegate(
@@ -270,6 +280,11 @@
                 self._observe_failover_lock,
                 self._failover_lock_removed,
             ),
+            RecordSubscriber(
+                READERS_KEY,
+                self.reader_directory.observe,
+                self.reader_directory.observe_removal,
+            ),
             RecordSubscriber(
                 self.failover_lock.last_acquisition_key,
                 self._observe_last_acquisition,
@@ -299,6 +314,7 @@
                 self._register,
                 self._run_failover_lock,
                 self.registration.remove_absent_members,
+                self.reader_directory.publish,
                 self.liveness_delegate.run,
                 self.confirmation.run,
                 self.fence_reporter.run,
@@ -461,18 +477,6 @@
         """Read the members from the store; raises `StoreError`."""
         await self.mirror.refresh(FLEET_PREFIX)
 
-    async def _readers(self) -> list[Reader]:
-        """Return the proxies that read the store on behalf of this one."""
-        if not self.members.members:
-            await self._refresh_members()
-        readers = readers_to_follow(
-            self.members, self.settings.name, self.settings.place.failure_domain
-        )
-        return [
-            Reader(reader.name, functools.partial(self.peers.request_changes, reader))
-            for reader in readers
-        ]
-
     def _connection_limit(self, group: str) -> int | None:
         """Return how many connections an endpoint of a group accepts in total."""
         configured = self.environment.groups.get(group)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
@@ -57,7 +57,7 @@
     async with node.store, anyio.create_task_group() as tasks:
         await node.store.client.aclose()
         node.store.client = httpx.AsyncClient(transport=httpx.ASGITransport(app))
-        await node._readers()
+        await node.reader_directory.readers()
         server.delete(MEMBER_PREFIX + "host-1")
         tasks.start_soon(node.mirror.run)
         await node.mirror.loaded.wait()
