--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -30,6 +30,7 @@
 WATCH_WAIT_S = 20.0
 CONFIRM_INTERVAL_S = 1.5
 WATCH_CATCH_UP_S = 0.5  # a watch still behind after this time has missed changes
+REGISTRATION_WAIT_S = 0.5  # a read before this process is registered confirms nothing
 
 log = structlog.get_logger(__name__)
 
@@ -70,6 +71,9 @@
 
     Attributes
     ----------
+    confirm_registration : callable
+        Like `confirm_through_reader`, for a process that has just registered and that
+        the other process may not have seen yet.
     generation : int
         Generation of the newest read of the store, -1 before the first one.
     restore_listeners : list of callable
@@ -90,6 +94,8 @@
     current_at : float
         Boot time of the newest read of the store whose revision this mirror has
         reached: it has all changes that the store acknowledged before.
+    last_read : StoreRead or None
+        Last read that confirmed the prefix.
     progressed : anyio.Event
         Set, then replaced, whenever `revision` or `current_at` may have grown.
     checks_behind : int
@@ -115,6 +121,9 @@
         source: MirrorSource | None = None,
         clock: Callable[[], float] = boot_time_s,
     ) -> None:
+        self.confirm_registration: Callable[[], Awaitable[StoreRead | None]] = (
+            _no_reader
+        )
         self.restore_listeners: list[Callable[[int], None]] = []
         self.generation = -1
         self.confirm_through_reader = confirm_through_reader or _no_reader
@@ -123,6 +132,7 @@
         self.source = source or store
         self.history = ChangeHistory()
         self.current_at = float("-inf")
+        self.last_read: StoreRead | None = None
         self.progressed = anyio.Event()
         self.checks_behind = 0
         self.reload_next = True
@@ -185,7 +195,7 @@
         return self.clock() - self.current_at
 
     def confirm_now(self) -> None:
-        """Read the confirmed prefix now, not only at the next interval."""
+        """Confirm the prefix now, not only at the next interval."""
         self.confirm_requested.set()
 
     async def _follow_changes(self) -> None:
@@ -219,10 +229,14 @@
         """Confirm the prefix and check the watch at a fixed interval."""
         await self.loaded.wait()
         # The first read shows whether this process is registered.
-        read_store_next = True
+        await self._confirm_requested_within(REGISTRATION_WAIT_S)
+        requested = True
         while True:
             began_at = self.clock()
-            read = None if read_store_next else await self.confirm_through_reader()
+            if requested:
+                read = await self.confirm_registration()
+            else:
+                read = await self.confirm_through_reader()
             if read is None:
                 try:
                     read = await self._read_confirmed()
@@ -230,13 +244,14 @@
                     self._set_reachable(False, str(error))
                     await anyio.sleep(self.retry.next_pause_s())
                     continue
+            self.last_read = read
             self._compare(read)
-            read_store_next = await self._confirm_requested_within(WATCH_CATCH_UP_S)
-            if read_store_next:
+            requested = await self._confirm_requested_within(WATCH_CATCH_UP_S)
+            if requested:
                 continue
             self._check_watch(read)
             pause_s = began_at + CONFIRM_INTERVAL_S - self.clock()
-            read_store_next = await self._confirm_requested_within(pause_s)
+            requested = await self._confirm_requested_within(pause_s)
 
     async def _read_confirmed(self) -> StoreRead:
         """Read the confirmed prefix; raises `StoreError`."""
@@ -307,7 +322,8 @@
         """Record that all changes up to a revision are known."""
         self.revision = max(self.revision, revision)
         self.history.advance(self.revision)
-        self._notify_progress()
+        if self.last_read is None or not self._compare(self.last_read):
+            self._notify_progress()
 
     def _apply_write(self, stored: StoredValue) -> None:
         """Apply a written value, unless a newer change of its key is known."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -368,3 +368,62 @@
     assert "b" not in subscriber.values
     mirror._apply(await store.watch("", mirror.revision, 0.1))
     assert subscriber.values == {k: v.value for k, v in store.values.items()}
+
+
+async def test_first_read_follows_the_registration():
+    """Guards against a first read that cannot show this process, which delays it."""
+    store = Store()
+    reads = []
+    mirror = StoreMirror(
+        store, {}, "c/", lambda sent_at, listing: reads.append(listing.revision)
+    )
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await mirror.loaded.wait()
+        store.put("c/registration", b"1")
+        mirror.confirm_now()
+        await until(lambda: reads)
+        tasks.cancel_scope.cancel()
+    assert reads == [store.revision]
+
+
+async def test_registration_that_a_reader_confirms_needs_no_read():
+    """Guards against store reads by every process of a fleet that restarts."""
+    store = Store()
+    reads = []
+    mirror = StoreMirror(
+        store, {}, "c/", lambda sent_at, listing: reads.append(sent_at)
+    )
+
+    async def confirm_registration():
+        return StoreRead(store.revision, 3.0)
+
+    mirror.confirm_registration = confirm_registration
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await mirror.loaded.wait()
+        mirror.confirm_now()
+        await until(lambda: mirror.last_read is not None)
+        tasks.cancel_scope.cancel()
+    assert not reads
+
+
+async def test_read_of_a_reader_counts_as_soon_as_the_mirror_reaches_it():
+    """Guards against a process without a proof for the catch-up time."""
+    store = Store()
+    mirror = StoreMirror(store, {}, "c/", lambda *_: None)
+    store.silent = True
+
+    async def confirm_registration():
+        return StoreRead(store.revision + 1, 3.0)
+
+    mirror.confirm_registration = confirm_registration
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(mirror.run)
+        await mirror.loaded.wait()
+        mirror.current_at = 0.0  # the listing is a read as well
+        mirror.confirm_now()
+        await until(lambda: mirror.last_read is not None)
+        mirror._apply(Changes([], [], store.revision + 1))
+        assert mirror.current_at == 3.0
+        tasks.cancel_scope.cancel()
