Limit the rates of tenants over all hosts with donated shares

Each registered host owns 1/n of every tenant's rate and donates it, in one slice per failure domain, for 2 s at a time. The allocators that receive the slices keep token buckets and lend tokens, which expire 0.25 s after the request was sent.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/messages.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/messages.py
@@ -12,6 +12,12 @@
     PreparedStatement,
     Statement,
 )
+from rosemaryward.decisions.quota.messages import (
+    DonationReply,
+    LendReply,
+    LendRequest,
+    ShareDonation,
+)
 from rosemaryward.decisions.types import LogPosition
 
 __all__ = [
@@ -191,6 +197,15 @@
 
 
 RelayRequest = (
-    RunRequest | BeginRequest | LeasedRequest | RollBackRequest | CloseRequest | Ping
+    RunRequest
+    | BeginRequest
+    | LeasedRequest
+    | RollBackRequest
+    | CloseRequest
+    | Ping
+    | ShareDonation
+    | LendRequest
+)
+RelayReply = (
+    Answered | Refused | Unanswered | Pong | Leaving | DonationReply | LendReply
 )
-RelayReply = Answered | Refused | Unanswered | Pong | Leaving
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -23,6 +23,7 @@
 )
 from rosemaryward.decisions.gateway.statements import AdmissionParameters
 from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.quota import Allocator, LendRequest, ShareDonation
 from rosemaryward.decisions.relays.messages import (
     Answered,
     BeginRequest,
@@ -69,6 +70,8 @@
     ----------
     leaving : bool
         Whether new statements are refused because the process is about to stop.
+    allocator : Allocator or None
+        Handles the messages about tenants' rates, None if there are no limits.
     running : int
         Number of requests and transactions in progress.
     reply_counts : dict of str to int
@@ -89,6 +92,7 @@
         self.samples = samples
         self.clock = clock
         self.leaving = False
+        self.allocator: Allocator | None = None
         self.running = 0
         self.reply_counts: dict[str, int] = {}
         self.became_idle = anyio.Event()
@@ -325,8 +329,17 @@
         if isinstance(request, CloseRequest):
             self._abandon(request.lease)
             return None
+        if isinstance(request, ShareDonation | LendRequest):
+            return self._answer_quota(request)
         return Pong()
 
+    def _answer_quota(self, request: ShareDonation | LendRequest) -> RelayReply:
+        """Pass a message about tenants' rates to the allocator of this process."""
+        allocator = self.service.allocator
+        if allocator is None:
+            return Refused(Failure.BUSY, "the proxy is not an allocator")
+        return allocator.handle(request)
+
     def close(self) -> None:
         """Abandon the open transactions, because the connection has ended."""
         self.closed = True
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -127,6 +127,14 @@
         self.relayed = self._counter(
             "relayed_requests_total", "Requests of other proxies by outcome"
         )
+        self.quota_events = self._counter(
+            "quota_events_total",
+            "Operations under tenants' rate limits and messages about them, by event",
+        )
+        self.quota_share = self._gauge(
+            "quota_share_in_force",
+            "Fraction of the tenants' rates that this proxy lends to all proxies",
+        )
         self.configuration_version = self._gauge(
             "configuration_version", "Version of the document in force"
         )
@@ -226,6 +234,12 @@
         for outcome, count in outcomes.items():
             self.relayed.set({"outcome": outcome}, count)
 
+    def set_quota(self, counts: Mapping[str, int], share: float) -> None:
+        """Set the counts of quota events so far, and the share that is lent here."""
+        for event, count in counts.items():
+            self.quota_events.set({"event": event}, count)
+        self.quota_share.set({}, share)
+
     def set_caller_connections(self, count: int) -> None:
         """Set the number of open caller connections."""
         self.caller_connections.set({}, count)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -74,6 +74,7 @@
     RecordSubscriber,
     StoreRecordWriter,
 )
+from rosemaryward.proxy.platform_quota import PlatformQuota
 from rosemaryward.proxy.platform_registration import MemberRegistration
 from rosemaryward.proxy.platform_requests import MemberRequestHandler
 from rosemaryward.proxy.statement_log import StatementLog
@@ -232,6 +233,14 @@
             lambda: self.registration.lease,
             self.mirror.confirm_now,
         )
+        self.quota = PlatformQuota(
+            settings,
+            self.registration.record,
+            self.members,
+            self.mirror,
+            lambda: self.environment,
+            self.relay_service,
+        )
         self.sessions: set[CallerSession] = set()
         self.caller_server = LineCallerServer(
             settings.caller_address, self._has_route, self._serve_caller
@@ -296,6 +305,7 @@
                 self.connector.run,
                 self.relay_client.run,
                 self.mirror.run,
+                self.quota.run,
                 self._register,
                 self._run_failover_lock,
                 self.registration.remove_absent_members,
@@ -342,6 +352,7 @@
         self.is_draining = True
         log.info("drain begins", sessions=len(self.sessions), grace_s=grace_s)
         self.relay_server.leave()
+        self.quota.leave()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._release_failover_lock)
             await anyio.sleep(LOAD_BALANCER_REMOVAL_S)
@@ -441,6 +452,7 @@
         def answer() -> tuple[int, bytes]:
             self.metrics.set_caller_connections(len(self.sessions))
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
+            self.quota.export_metrics(self.metrics)
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
