Share an endpoint's slots between tenants in proportion to their weights

`AdmissionQueue.set_weights` and `EndpointDirectory.set_weights` take a callable; without one, tenants are served round robin as before. Estimated waits, refusals and displacements follow the weights, and retry times spread the returns of a refused crowd by tenant.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/__init__.py
@@ -7,6 +7,7 @@
 
 from rosemaryward.decisions.admission.grant import SlotGrant
 from rosemaryward.decisions.admission.queue import AdmissionQueue
+from rosemaryward.decisions.admission.request_queue import TenantWeights
 from rosemaryward.decisions.admission.settings import AdmissionSettings
 from rosemaryward.decisions.admission.shedding import EntryShedder, ShedderSettings
 from rosemaryward.decisions.admission.tenants import TenantLimiter
@@ -18,4 +19,5 @@
     "ShedderSettings",
     "SlotGrant",
     "TenantLimiter",
+    "TenantWeights",
 ]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -9,9 +9,12 @@
 from rosemaryward.decisions.admission.concurrency import ConcurrencyLimit
 from rosemaryward.decisions.admission.grant import GrantState, SlotGrant
 from rosemaryward.decisions.admission.rank_queue import RankQueue
+from rosemaryward.decisions.admission.request_queue import RequestQueue, TenantWeights
 from rosemaryward.decisions.admission.reserve import UrgentReserve
+from rosemaryward.decisions.admission.returns import ReturnSchedule
 from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.admission.settings import AdmissionSettings
+from rosemaryward.decisions.admission.weighted_queue import WeightedRankQueue
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.types import Rank
 
@@ -30,6 +33,9 @@
     ranks : Mapping of Rank to RankSection
         Floors and queue limits; a missing rank gets the defaults.
     settings : AdmissionSettings, optional
+    weights : callable, optional
+        Returns the weight of a tenant, None if it is not known. Without it, all
+        tenants have equal shares.
 
     Notes
     -----
@@ -54,10 +60,12 @@
         "rank_queues",
         "ranks",
         "reserve",
+        "returns",
         "running",
         "settings",
         "slots",
         "updated_at",
+        "weights",
     )
 
     def __init__(
@@ -65,13 +73,16 @@
         slots: int,
         ranks: Mapping[Rank, RankSection],
         settings: AdmissionSettings | None = None,
+        weights: TenantWeights | None = None,
     ) -> None:
         self.slots = slots
         self.limit = slots
         self.concurrency = ConcurrencyLimit(slots)
         self.settings = settings or AdmissionSettings()
         self.ranks = tuple(ranks.get(rank, RankSection()) for rank in Rank)
-        self.rank_queues = tuple(RankQueue() for _ in Rank)
+        self.weights = weights
+        self.rank_queues = tuple(_create_rank_queue(weights) for _ in Rank)
+        self.returns = ReturnSchedule(self.settings.maximum_spread_s)
         self.accounts = tuple(
             RankAccount(0.0 if rank is Rank.URGENT else section.floor, self.settings)
             for rank, section in zip(Rank, self.ranks, strict=True)
@@ -93,7 +104,8 @@
         ----------
         rank : Rank
         caller, tenant : str
-            Served round robin within the rank.
+            Tenants of a rank are served in proportion to their weights, round robin
+            without weights, and the callers of a tenant round robin.
         deadline_s : float
             Time in seconds from now to the statement's deadline.
 
@@ -109,7 +121,7 @@
         """Return the estimated wait in seconds of a new statement by rank."""
         self._update_accounts(current_time())
         return {
-            rank: self._estimated_wait_s(rank, self.rank_queues[rank].length)
+            rank: self._estimated_wait_s(rank, self.rank_queues[rank].shared_length)
             for rank in Rank
         }
 
@@ -133,6 +145,17 @@
         self.concurrency.set_maximum(slots)
         self._dispatch()
 
+    def set_weights(self, weights: TenantWeights | None) -> None:
+        """Change whether and how tenants are weighted; queued requests stay queued."""
+        if weights == self.weights:
+            return
+        self.weights = weights
+        queues = self.rank_queues
+        self.rank_queues = tuple(_create_rank_queue(weights) for _ in Rank)
+        for old, new in zip(queues, self.rank_queues, strict=True):
+            while old.length:
+                new.push(old.pop(current_time()))
+
     def close(self) -> None:
         """Refuse all queued and all later requests."""
         self.closed = True
@@ -231,44 +254,47 @@
         # still be able to start one, or its mean service time is never updated.
         service_s = min(service_s, grant.deadline_s * 0.5)
         grant.latest_start_at = grant.arrived_at + grant.deadline_s - service_s
-        caller = queue.find_caller(grant.tenant, grant.caller)
-        own = len(caller.requests) if caller else 0
         if not has_free_slot or queue.length:
-            wait_s = self._estimated_wait_s(
-                rank, queue.requests_ahead(grant.tenant, grant.caller, own)
-            )
-            if caller is not None:
-                # Callers with fewer requests that arrive later are served before
-                # this one. The interval of its turns reflects that, the queue's
-                # length does not.
-                wait_s = max(wait_s, own * caller.mean_turn_interval_s)
+            ahead = queue.requests_ahead(grant.tenant, grant.caller)
+            wait_s = self._estimated_wait_s(rank, ahead)
+            wait_s = max(wait_s, queue.turn_wait_s(grant.tenant, grant.caller))
             wait_s *= self.settings.wait_margin_factor
             excess_s = wait_s + service_s - grant.deadline_s
             if excess_s > 0.0:
                 raise self._overload_error(
-                    "the estimated wait exceeds the deadline", excess_s
+                    grant, "the estimated wait exceeds the deadline", excess_s
                 )
         if queue.length >= self.ranks[rank].queue_limit:
-            self._displace(queue, own)
+            self._displace(queue, grant)
         grant.state = GrantState.QUEUED
         queue.push(grant)
         self.queued += 1
 
-    def _displace(self, queue: RankQueue, own: int) -> None:
+    def _displace(self, queue: RequestQueue, arriving: SlotGrant) -> None:
         """Refuse a request of the largest caller to make room for a smaller one."""
         newest = queue.newest_of_largest_caller()
-        if newest is None or queue.sizes.largest_size <= own + 1:
-            raise self._overload_error("the queue is full", 0.0)
+        if newest is None or not queue.may_displace(arriving):
+            raise self._overload_error(arriving, "the queue is full", 0.0)
         self._refuse(newest, "displaced by a caller with fewer statements", 0.0)
 
-    def _overload_error(self, reason: str, excess_s: float) -> OverloadError:
-        retry_s = max(excess_s, self.settings.minimum_retry_s)
-        return OverloadError(reason, min(retry_s, self.settings.maximum_retry_s))
+    def _overload_error(
+        self, grant: SlotGrant, reason: str, excess_s: float
+    ) -> OverloadError:
+        settings = self.settings
+        retry_s = max(excess_s, settings.minimum_retry_s)
+        share = self.rank_queues[grant.rank].share_of(grant.tenant)
+        if share is None:
+            return OverloadError(reason, min(retry_s, settings.maximum_retry_s))
+        interval_s = self.accounts[grant.rank].mean_service_s / self.limit / share
+        retry_s = self.returns.reserve_s(
+            grant.tenant, self.updated_at, retry_s, interval_s
+        )
+        return OverloadError(f"{reason}, retry in {retry_s:.2f} s", retry_s)
 
     def _refuse(self, grant: SlotGrant, reason: str, excess_s: float) -> None:
         self._remove_queued(grant)
         grant.state = GrantState.REFUSED
-        grant.error = self._overload_error(reason, excess_s)
+        grant.error = self._overload_error(grant, reason, excess_s)
         grant.wake()
 
     def _remove_queued(self, grant: SlotGrant) -> None:
@@ -384,9 +410,7 @@
         newest = queue.newest_of_largest_caller()
         if newest is None:
             return
-        ahead = queue.requests_ahead(
-            newest.tenant, newest.caller, queue.sizes.largest_size - 1
-        )
+        ahead = queue.requests_ahead_of_newest()
         wait_s = self._estimated_wait_s(rank, ahead) / self.settings.wait_margin_factor
         late_s = self.updated_at + wait_s - newest.latest_start_at
         if late_s > 0.0:
@@ -414,3 +438,7 @@
         if now >= grant.latest_start_at - CLOCK_RESOLUTION_S:
             self._refuse(grant, "the deadline cannot be met", 0.0)
         self._dispatch()
+
+
+def _create_rank_queue(weights: TenantWeights | None) -> RequestQueue:
+    return RankQueue() if weights is None else WeightedRankQueue(weights)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/rank_queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/rank_queue.py
@@ -4,7 +4,7 @@
 
 from rosemaryward.decisions.admission.grant import SlotGrant
 
-__all__ = ["CallerQueue", "RankQueue"]
+__all__ = ["CallerQueue", "RankQueue", "SizeIndex", "TURN_INTERVAL_WEIGHT"]
 
 TURN_INTERVAL_WEIGHT = 0.25  # of the last interval in the mean interval of turns
 
@@ -19,6 +19,15 @@
         self.mean_turn_interval_s = 0.0
         self.requests: OrderedDict[SlotGrant, None] = OrderedDict()
 
+    def record_turn(self, now: float) -> None:
+        """Record that one of the requests starts."""
+        if self.last_turn_at:
+            interval_s = now - self.last_turn_at
+            self.mean_turn_interval_s += (
+                interval_s - self.mean_turn_interval_s
+            ) * TURN_INTERVAL_WEIGHT
+        self.last_turn_at = now
+
 
 class TenantQueue:
     """Callers of one tenant in the order of their next turn."""
@@ -101,14 +110,8 @@
         tenant_queue = self.tenants.get(tenant)
         return tenant_queue.callers.get(caller) if tenant_queue else None
 
-    def requests_ahead(self, tenant: str, caller: str, own: int) -> float:
-        """Return how many requests are served before one of the caller's.
-
-        Parameters
-        ----------
-        tenant, caller : str
-        own : int
-            Requests of the caller that come before the one in question.
+    def requests_ahead(self, tenant: str, caller: str) -> float:
+        """Return how many requests are served before a new one of the caller.
 
         Returns
         -------
@@ -116,6 +119,13 @@
             Mean of the number ahead now and the number ahead if the other callers,
             who have fewer requests, send as many as this one.
         """
+        found = self.find_caller(tenant, caller)
+        return self._requests_ahead_of(
+            tenant, caller, len(found.requests) if found else 0
+        )
+
+    def _requests_ahead_of(self, tenant: str, caller: str, own: int) -> float:
+        """Return the requests ahead of the one behind `own` of its caller."""
         tenant_queue = self.tenants.get(tenant)
         if tenant_queue is None:
             return min(self.length, len(self.tenants))
@@ -126,6 +136,38 @@
         queued = min(self.length, in_tenant + (len(self.tenants) - 1) * (in_tenant + 1))
         return 0.5 * (queued + min(refilled, 2 * queued)) if own else queued
 
+    @property
+    def shared_length(self) -> int:
+        """Number of requests that a tenant with none of its own has to wait for."""
+        return self.length
+
+    def requests_ahead_of_newest(self) -> float:
+        """Return `requests_ahead` of the request that is refused first."""
+        newest = self.newest_of_largest_caller()
+        if newest is None:
+            return 0.0
+        own = self.sizes.largest_size - 1
+        return self._requests_ahead_of(newest.tenant, newest.caller, own)
+
+    def share_of(self, tenant: str) -> float | None:
+        """Return None, since shares without weights depend on who is queued."""
+        return None
+
+    def turn_wait_s(self, tenant: str, caller: str) -> float:
+        """Return the wait of a new request by the measured interval of turns.
+
+        Callers with fewer requests that arrive later are served before it. The
+        interval of its caller's turns reflects that, the queue's length does not.
+        """
+        found = self.find_caller(tenant, caller)
+        return len(found.requests) * found.mean_turn_interval_s if found else 0.0
+
+    def may_displace(self, request: SlotGrant) -> bool:
+        """Return whether a new request may take the place of a queued one."""
+        found = self.find_caller(request.tenant, request.caller)
+        own = len(found.requests) if found else 0
+        return self.sizes.largest_size > own + 1
+
     def push(self, request: SlotGrant) -> None:
         """Append a request to its caller's queue."""
         tenant_queue = self.tenants.get(request.tenant)
@@ -147,12 +189,7 @@
         request = next(iter(caller_queue.requests))
         self.tenants.move_to_end(tenant)
         tenant_queue.callers.move_to_end(caller)
-        if caller_queue.last_turn_at:
-            interval_s = now - caller_queue.last_turn_at
-            caller_queue.mean_turn_interval_s += (
-                interval_s - caller_queue.mean_turn_interval_s
-            ) * TURN_INTERVAL_WEIGHT
-        caller_queue.last_turn_at = now
+        caller_queue.record_turn(now)
         self.remove(request, is_latest=True)
         return request
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/settings.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/settings.py
@@ -46,6 +46,9 @@
         Interval in seconds at which a reserved free slot is offered again.
     minimum_retry_s, maximum_retry_s : float
         Bounds in seconds of the retry time that a refusal suggests.
+    maximum_spread_s : float
+        Upper bound in seconds of that time where tenants have weights; the returns
+        of each tenant's refused requests are spread up to it.
     adaptive : bool
         Whether the number of running statements adapts to the measured latency.
     """
@@ -65,4 +68,5 @@
     reserve_poll_interval_s: float = 0.02
     minimum_retry_s: float = 0.02
     maximum_retry_s: float = 1.0
+    maximum_spread_s: float = 5.0
     adaptive: bool = True
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -7,7 +7,11 @@
 import anyio
 import structlog
 
-from rosemaryward.decisions.admission import AdmissionQueue, AdmissionSettings
+from rosemaryward.decisions.admission import (
+    AdmissionQueue,
+    AdmissionSettings,
+    TenantWeights,
+)
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.environment import Endpoint
 from rosemaryward.decisions.gateway.outcomes import (
@@ -259,6 +263,8 @@
     relayed : bool, optional
         Whether the statements run at a relay, which also decides whether the endpoint
         answers.
+    weights : callable, optional
+        Weights of tenants in the admission queue, see `AdmissionQueue`.
 
     Attributes
     ----------
@@ -290,13 +296,14 @@
         clock: Callable[[], float] = boot_time_s,
         connection_cap: Callable[[str], int | None] | None = None,
         relayed: bool = False,
+        weights: TenantWeights | None = None,
     ) -> None:
         self.connection_cap = connection_cap
         self.relayed = relayed
         self.endpoint = endpoint
         self.connector = connector
         self.clock = clock
-        self.queue = AdmissionQueue(endpoint.slots, {}, ENDPOINT_ADMISSION)
+        self.queue = AdmissionQueue(endpoint.slots, {}, ENDPOINT_ADMISSION, weights)
         self.idle_connections: list[PooledConnection] = []
         self.open_count = 0
         self.last_answer_at = float("-inf")
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -4,6 +4,7 @@
 
 import structlog
 
+from rosemaryward.decisions.admission import TenantWeights
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.connections import Connector, EndpointPool
 from rosemaryward.decisions.gateway.environment import Endpoint
@@ -64,6 +65,8 @@
         Pools for direct connections.
     outdated_at : float
         Boot time at which registrations were last known to be out of date.
+    weights : callable or None
+        Weights of tenants in the admission queues, None for equal shares.
     """
 
     def __init__(
@@ -79,6 +82,20 @@
         self.unregistered_since: dict[str, float] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.outdated_at = float("-inf")
+        self.weights: TenantWeights | None = None
+
+    def set_weights(self, weights: TenantWeights | None) -> None:
+        """Set the weights of tenants for the queues of all endpoints.
+
+        Parameters
+        ----------
+        weights : callable or None
+            Returns the weight of a tenant, None if it is not known; None for equal
+            shares.
+        """
+        self.weights = weights
+        for pool in self.pools.values():
+            pool.queue.set_weights(weights)
 
     def mark_outdated(self) -> None:
         """Record that registrations may have changed unseen, as in a store outage."""
@@ -111,7 +128,11 @@
             if pool is not None:
                 pool.close()
             self.pools[endpoint.id] = EndpointPool(
-                endpoint, self.connector, self.clock, self.connection_cap
+                endpoint,
+                self.connector,
+                self.clock,
+                self.connection_cap,
+                weights=self.weights,
             )
         else:
             pool.update(endpoint)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_endpoint_admission.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_endpoint_admission.py
@@ -5,6 +5,7 @@
 from rosemaryward.decisions.admission import AdmissionQueue
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.gateway.connections import ENDPOINT_ADMISSION
+from rosemaryward.decisions.gateway.tests.fakes import GatewayHarness, make_endpoint
 from rosemaryward.decisions.types import Rank
 
 pytestmark = pytest.mark.looptime
@@ -74,3 +75,16 @@
         tasks.start_soon(load.play, Rank.BULK, 0.02, 0.4, 4.0)
     late = [s for s in load.latencies[Rank.URGENT][-50:] if s > 0.1]
     assert len(late) <= 1
+
+
+async def test_weights_reach_present_and_later_endpoints():
+    """Guards against endpoints whose queues serve all tenants alike."""
+    harness = GatewayHarness()
+    weights = {"t": 1.0}.get
+    harness.directory.set_weights(weights)
+    harness.directory.observe(make_endpoint("i-4"))
+    pools = harness.directory.pools.values()
+    assert len(pools) == 4
+    assert all(pool.queue.weights is weights for pool in pools)
+    harness.directory.set_weights(None)
+    assert all(pool.queue.weights is None for pool in pools)
