--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -507,11 +507,7 @@
         environment = decode_environment(stored.value)
         if environment.version <= self.environment.version:
             return
-        self.environment = environment
-        self.callers.configured.set()
-        self.tenants.report_problems()
-        self.metrics.set_tenants(environment.routes)
-        self.metrics.set_configuration(environment.version, 0.0)
+        self.use_environment(environment)
         log.info(
             "configuration applied",
             version=environment.version,
@@ -519,6 +515,16 @@
             routes=len(environment.routes),
         )
 
+    def use_environment(self, environment: Environment) -> None:
+        """Put a configuration into force."""
+        self.environment = environment
+        self.callers.configured.set()
+        self.tenants.report_problems()
+        has_tenants = environment.tenants is not None
+        self.directory.set_weights(self.tenants.weight if has_tenants else None)
+        self.metrics.set_tenants(environment.routes)
+        self.metrics.set_configuration(environment.version, 0.0)
+
     def _configuration_removed(self, name: str) -> None:
         log.warning("configuration removed or unreadable; keeping the last one")
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
@@ -87,6 +87,12 @@
             self.pool_count = _count_pools(environment)
         return self.pool_count
 
+    def weight(self, tenant: str) -> float | None:
+        """Return the weight of a tenant in admission queues, its rate."""
+        directory = self.environment().tenants
+        found = None if directory is None else directory.tenants.get(tenant)
+        return None if found is None else found.rate_per_s
+
     def access(self, key: CallerKey) -> CallerAccess:
         """Return the access of a caller with a key."""
         return CallerAccess(key, self.authorizer, self.limiter, self.log_refusal)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -6,6 +6,7 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.environment import Environment
+from rosemaryward.decisions.tenants import Tenant, TenantDirectory
 from rosemaryward.platform.configuration import REGISTRATION_PREFIX
 from rosemaryward.platform.fakes.documents import encode_settings
 from rosemaryward.platform.fakes.store import FakeStore
@@ -157,3 +158,29 @@
     node.environment = make_environment("orders")
     node.callers.configured.set()
     return node
+
+
+@pytest.mark.parametrize(
+    ("tenants", "weights"),
+    [
+        pytest.param([Tenant(name="a", rate_per_s=7.0)], [7.0, None], id="rates"),
+        pytest.param([Tenant(name="a")], [None, None], id="without-a-rate"),
+        pytest.param(None, None, id="no-tenants"),
+    ],
+)
+def test_tenants_share_slots_by_their_rates(tmp_path, tenants, weights):
+    """Guards against equal shares for a large and a small tenant."""
+    path = tmp_path / "host.json"
+    write_settings(path, STORE_PORT)
+    node = PlatformNode(read_settings(path), path)
+    found = None if tenants is None else TenantDirectory((t, []) for t in tenants)
+    node.use_environment(
+        Environment(
+            version=3, routes={}, groups={}, transaction_idle_s=3.0, tenants=found
+        )
+    )
+    weight_of = node.directory.weights
+    if weights is None:
+        assert weight_of is None
+    else:
+        assert [weight_of("a"), weight_of("unknown")] == weights
