--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/simulation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/simulation.py
@@ -12,6 +12,7 @@
 from collections import Counter, defaultdict
 
 import anyio
+import anyio.abc
 import looptime
 import msgspec
 
@@ -204,6 +205,8 @@
 class Fleet:
     """Hosts, their registrations and the operations that they admitted."""
 
+    tasks: anyio.abc.TaskGroup
+
     def __init__(self, seed, limits, hosts=12, first_start=False, **types):
         self.random = random.Random(seed)
         self.bounds = types.get("bounds", QuotaBounds())
@@ -265,6 +268,9 @@
         self.limit_changes.append((self.now(), limits))
 
     def start(self, name):
+        """Start a process, unless one of that name runs."""
+        if name in self.processes and not self.processes[name].dead:
+            return
         self.generation += 1
         process = Process(self, name, self.places[name], self.generation)
         self.processes[name] = process
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/test_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/test_fleet.py
@@ -154,7 +154,9 @@
 @pytest.mark.timeout(400)
 def test_operations_stay_within_the_bound(seed, place, schedule):
     """Guards against parts of a rate that are in two places, whatever fails."""
-    run_schedule(seed, place, schedule).check_bound()
+    fleet = run_schedule(seed, place, schedule)
+    fleet.check_bound()
+    fleet.check_donations()
 
 
 def test_renewals_that_add_up_exceed_the_bound():
@@ -295,3 +297,26 @@
     fleet = run_fleet(Fleet(8, LIMITS, 36), scenario)
     per_host = sum(fleet.messages.values()) / len(fleet.places) / 3
     assert per_host <= 80, "messages per host and second, both directions"
+
+
+@pytest.mark.parametrize("restarts", [0, 1, 2])
+@pytest.mark.parametrize("tenant", ["hot", "small"])
+def test_full_buckets_and_a_restart_stay_within_the_bound(tenant, restarts):
+    """Guards against initial tokens that add to full buckets in one window."""
+
+    async def scenario(fleet):
+        fleet.preregister()
+        fleet.start_all()
+        await anyio.sleep(40)
+        names = list(fleet.places)
+        fleet.tasks.start_soon(fleet.call, tenant, names, 600.0, 48.0)
+        for _ in range(restarts):
+            await anyio.sleep(1.0)
+            for name in names:
+                fleet.kill(name)
+            await anyio.sleep(0.5)
+            fleet.start_all()
+        await anyio.sleep(48 - fleet.now())
+
+    fleet = run_fleet(Fleet(9, LIMITS, HOSTS), scenario)
+    fleet.check_bound()
