--- /dev/null
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of misbehaving clients against real proxy processes."""
