--- /dev/null
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
@@ -0,0 +1,105 @@
+"""Limits that follow from the memory and the descriptors of a process."""
+
+import msgspec
+
+__all__ = ["ALLOWANCE_BYTES", "ClientLimits", "ProcessLimits", "derive_limits"]
+
+MIB = 1 << 20
+ALLOWANCE_BYTES = 16 * 1024
+"""Bytes of a connection that are not counted towards the common memory.
+
+Usual statements are shorter, so no crowd can take the memory that they need.
+"""
+
+CONNECTION_BYTES = 96 * 1024
+"""Memory of one connection: its objects, `ALLOWANCE_BYTES`, and received bytes that
+wait in the system (at most 64 KiB with a receive buffer of 32 KiB)."""
+
+CONNECTIONS_MEMORY_SHARE = 1 / 3
+COMMON_MEMORY_SHARE = 1 / 6
+RESERVED_DESCRIPTORS = 200  # for files
+CALLERS_DESCRIPTOR_SHARE = 1 / 2
+PEERS_DESCRIPTOR_SHARE = 1 / 8
+STARTING_SHARE = 1 / 4
+ENDING_SHARE = 1 / 8
+INTERNAL_CONNECTIONS = 32
+MIN_CONNECTIONS = 16
+
+
+class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits on the clients of one address.
+
+    Parameters
+    ----------
+    connections : int
+        Open connections.
+    starting : int
+        Open connections that have not finished their start-up.
+    ending : int
+        Connections above `connections` while others are asked to disconnect.
+    memory_bytes : int
+        Bytes that all connections hold together above `ALLOWANCE_BYTES` each.
+    startup_s : float
+        Longest start-up in seconds.
+    message_s : float
+        Longest time from the first to the last byte of a message, in seconds.
+    answer_s : float
+        Longest time for which a client may block an answer, in seconds.
+    """
+
+    connections: int
+    starting: int
+    ending: int
+    memory_bytes: int
+    startup_s: float = 3.0
+    message_s: float = 10.0
+    answer_s: float = 15.0
+
+
+class ProcessLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Limits on all clients of one process.
+
+    Parameters
+    ----------
+    callers : ClientLimits
+        Limits at the address for callers.
+    peers : ClientLimits
+        Limits at each address for other proxies.
+    internal : int
+        Open connections at each address for probes, metrics and operators.
+    """
+
+    callers: ClientLimits
+    peers: ClientLimits
+    internal: int = INTERNAL_CONNECTIONS
+
+
+def derive_limits(memory_mib: float, descriptors: int) -> ProcessLimits:
+    """Return the limits of a process.
+
+    Parameters
+    ----------
+    memory_mib : float
+        Memory of the machine or of the process, in MiB.
+    descriptors : int
+        Descriptors that the process may have open.
+    """
+    available = max(descriptors - RESERVED_DESCRIPTORS, 0)
+    memory = int(memory_mib * MIB)
+    fitting = int(memory * CONNECTIONS_MEMORY_SHARE) // CONNECTION_BYTES
+    callers = min(int(available * CALLERS_DESCRIPTOR_SHARE), fitting)
+    peers = int(available * PEERS_DESCRIPTOR_SHARE)
+    common = int(memory * COMMON_MEMORY_SHARE)
+    return ProcessLimits(
+        callers=_client_limits(callers, common), peers=_client_limits(peers, common)
+    )
+
+
+def _client_limits(connections: int, memory_bytes: int) -> ClientLimits:
+    connections = max(connections, MIN_CONNECTIONS)
+    return ClientLimits(
+        connections=connections,
+        starting=max(int(connections * STARTING_SHARE), MIN_CONNECTIONS // 2),
+        ending=max(int(connections * ENDING_SHARE), 1),
+        memory_bytes=memory_bytes,
+    )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -254,6 +254,8 @@
             return self._failure_reply(Failure.UNKNOWN_DATABASE, reason), None, ""
         if statement.kind is StatementKind.UNREADABLE:
             return self._failure_reply(Failure.MALFORMED, statement.text), route, ""
+        if statement.kind is StatementKind.REFUSED:
+            return self._failure_reply(Failure.BUSY, statement.text), route, ""
         if transaction is not None and transaction.failed:
             return self._serve_in_failed_transaction(statement), route, ""
         local = self._serve_locally(statement, route, started_at)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -28,6 +28,7 @@
     EXECUTE = auto()
     DEALLOCATE = auto()
     UNREADABLE = auto()
+    REFUSED = auto()  # not run for want of memory; its text is the reason
 
 
 class ControlKind(Enum):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -7,6 +7,7 @@
 import anyio
 import structlog
 
+from rosemaryward.decisions.clients import derive_limits
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import (
@@ -117,6 +118,7 @@
         self.settings = settings
         self.settings_path = settings_path
         self.incarnation = secrets.token_hex(8)
+        self.limits = derive_limits(settings.memory_mib, settings.max_fds)
         self.environment = NO_ENVIRONMENT
         self.configured = anyio.Event()
         self.metrics = ProxyMetrics(settings.name)
@@ -234,7 +236,10 @@
         )
         self.sessions: set[CallerSession] = set()
         self.caller_server = LineCallerServer(
-            settings.caller_address, self._has_route, self._serve_caller
+            settings.caller_address,
+            self._has_route,
+            self._serve_caller,
+            self.limits.callers,
         )
         self.supervised_groups: set[str] = set()
         self.is_draining = False
@@ -421,6 +426,8 @@
             lambda: self.environment,
             self.statement_log,
         )
+        if channel.lines.client is not None:
+            channel.lines.client.end = session.end
         if self.caller_server.refusal:
             session.end(self.caller_server.refusal)
         self.sessions.add(session)
