--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
@@ -18,11 +18,14 @@
 CONNECTIONS_MEMORY_SHARE = 1 / 3
 COMMON_MEMORY_SHARE = 1 / 6
 RESERVED_DESCRIPTORS = 200  # for files
-CALLERS_DESCRIPTOR_SHARE = 1 / 2
-PEERS_DESCRIPTOR_SHARE = 1 / 8
+CALLERS_DESCRIPTOR_SHARE = 3 / 8
+PEERS_DESCRIPTOR_SHARE = 3 / 8
+CONTROL_DESCRIPTOR_SHARE = 1 / 8
+"""The rest is for outgoing connections and the other addresses."""
 STARTING_SHARE = 1 / 4
 ENDING_SHARE = 1 / 8
 INTERNAL_CONNECTIONS = 32
+INTERNAL_REQUEST_S = 15.0
 MIN_CONNECTIONS = 16
 
 
@@ -64,14 +67,17 @@
     callers : ClientLimits
         Limits at the address for callers.
     peers : ClientLimits
-        Limits at each address for other proxies.
-    internal : int
-        Open connections at each address for probes, metrics and operators.
+        Limits at the address for statements of other proxies.
+    control : ClientLimits
+        Limits at the address for control requests of other proxies.
+    internal : ClientLimits
+        Limits at each address for probes, metrics and operators.
     """
 
     callers: ClientLimits
     peers: ClientLimits
-    internal: int = INTERNAL_CONNECTIONS
+    control: ClientLimits
+    internal: ClientLimits
 
 
 def derive_limits(memory_mib: float, descriptors: int) -> ProcessLimits:
@@ -90,8 +96,18 @@
     callers = min(int(available * CALLERS_DESCRIPTOR_SHARE), fitting)
     peers = int(available * PEERS_DESCRIPTOR_SHARE)
     common = int(memory * COMMON_MEMORY_SHARE)
+    control = int(available * CONTROL_DESCRIPTOR_SHARE)
     return ProcessLimits(
-        callers=_client_limits(callers, common), peers=_client_limits(peers, common)
+        callers=_client_limits(callers, common),
+        peers=_client_limits(peers, common // 2),
+        control=_client_limits(control, common // 4),
+        internal=ClientLimits(
+            connections=INTERNAL_CONNECTIONS,
+            starting=INTERNAL_CONNECTIONS,
+            ending=1,
+            memory_bytes=0,
+            startup_s=INTERNAL_REQUEST_S,
+        ),
     )
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
@@ -7,7 +7,6 @@
 
 __all__ = ["Client", "ClientState", "ClientTable"]
 
-BLOCKED_AFTER_S = 1.0  # an answer that a client does not take
 CLOSE_REASON = "too many connections or too much memory in use"
 
 
@@ -241,14 +240,9 @@
             self.hold(oldest, oldest.kept_bytes)
             self.count("message_dropped")
             return True
-        blocked_since = self.clock() - BLOCKED_AFTER_S
-        blocked = [
-            other
-            for other in self._holders(ClientState.SENDING)
-            if other.since_s < blocked_since and other is not client
-        ]
+        blocked = [x for x in self._holders(ClientState.SENDING) if x is not client]
         if blocked:
-            self._abort(max(blocked, key=_held_bytes), "answer_dropped")
+            self._abort(_oldest(blocked), "answer_dropped")
             return True
         idle = [x for x in self._holders(ClientState.IDLE) if x is not client]
         if idle:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
@@ -18,6 +18,7 @@
 __all__ = [
     "MAX_MESSAGE_BYTES",
     "FRAGMENT_BYTES",
+    "HEADER_BYTES",
     "FrameReader",
     "decode_reply",
     "decode_request",
@@ -28,6 +29,7 @@
 FRAGMENT_BYTES = 64 * 1024
 MAX_MESSAGE_BYTES = 64 * 1024 * 1024
 _HEADER = struct.Struct("!IQB")
+HEADER_BYTES = _HEADER.size
 _LENGTH_BYTES = 4
 _MORE_FLAG = 1
 _COMPRESSED_FLAG = 2
@@ -107,6 +109,12 @@
         self.buffer = bytearray()
         self.incomplete: dict[int, bytearray] = {}
 
+    def held_bytes(self) -> int:
+        """Return the bytes of incomplete frames and messages."""
+        if not self.incomplete:
+            return len(self.buffer)
+        return len(self.buffer) + sum(map(len, self.incomplete.values()))
+
     def feed(self, data: bytes) -> Iterator[tuple[int, bytes]]:
         """Add received bytes and yield each complete message with its request id.
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -12,6 +12,14 @@
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from rosemaryward.decisions.clients import (
+    Client,
+    ClientLimits,
+    ClientState,
+    ClientTable,
+    report_limits,
+)
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.leadership.members import (
@@ -29,6 +37,7 @@
 )
 from rosemaryward.decisions.links import compress_if_smaller, decompress
 from rosemaryward.decisions.mirror import ChangesReply, ChangesRequest
+from rosemaryward.peers.clients import DEFAULT_LIMITS, admitted, bound_receive_buffers
 
 __all__ = ["MemberClient", "MemberServer", "MemberReply", "MemberRequest"]
 
@@ -37,6 +46,8 @@
 COMPRESSED_FLAG = 1 << 31  # bit of the length prefix
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024  # fits all values of the store, compressed
 MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
+MAX_REQUEST_BYTES = 1024 * 1024  # decompressed; only replies carry many values
+MIN_HELD_BYTES = 1024  # shorter messages expand to 1 MiB at most, for an instant
 TRANSFER_TIMEOUT_S = 3.0  # fits a large configuration on a low-bandwidth link
 
 MemberRequest = (
@@ -147,13 +158,19 @@
         Address to listen on, ``host:port``.
     handler : callable
         Returns the reply to a request.
+    limits : ClientLimits, optional
+        Limits on the connections of all members.
     """
 
     def __init__(
-        self, address: str, handler: Callable[[MemberRequest], Awaitable[MemberReply]]
+        self,
+        address: str,
+        handler: Callable[[MemberRequest], Awaitable[MemberReply]],
+        limits: ClientLimits = DEFAULT_LIMITS.control,
     ) -> None:
         self.address = address
         self.handler = handler
+        self.clients = ClientTable(limits, boot_time_s)
 
     async def run(self) -> None:
         """Serve requests until cancelled."""
@@ -161,21 +178,30 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port)
         )
-        async with listener:
+        bound_receive_buffers(listener)
+        async with listener, anyio.create_task_group() as tasks:
+            tasks.start_soon(report_limits, self.clients, "control")
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
         try:
             async with stream:
-                with anyio.fail_after(REQUEST_TIMEOUT_S):
-                    data = await _receive(stream)
-                    request = decode_with(_request_decoder.decode, data)
-                await _send(stream, await self.handler(request))
+                with admitted(self.clients) as client:
+                    await self._answer(stream, client)
         except (TimeoutError, PeerError, *_FAILURES) as error:
             log.info("member request failed", error=repr(error))
         except Exception:  # one failed request must not stop the server
             log.exception("member request failed unexpectedly")
 
+    async def _answer(self, stream: SocketStream, client: Client) -> None:
+        with anyio.fail_after(REQUEST_TIMEOUT_S):
+            data = await _receive(stream, MAX_REQUEST_BYTES, client)
+            request = decode_with(_request_decoder.decode, data)
+        client.enter(ClientState.SERVING)
+        reply = await self.handler(request)
+        client.enter(ClientState.SENDING)
+        await _send(stream, reply)
+
 
 async def _send(stream: SocketStream, message: MemberRequest | MemberReply) -> None:
     body, compressed = compress_if_smaller(_encoder.encode(message))
@@ -183,7 +209,12 @@
     await stream.send(length.to_bytes(LENGTH_BYTES, "big") + body)
 
 
-async def _receive(stream: SocketStream) -> bytes:
+async def _receive(
+    stream: SocketStream,
+    maximum: int = MAX_DECOMPRESSED_BYTES,
+    client: Client | None = None,
+) -> bytes:
+    """Return a message of at most `maximum` bytes, counted for a client."""
     reader = BufferedByteReceiveStream(stream)
     header = int.from_bytes(await reader.receive_exactly(LENGTH_BYTES), "big")
     length = header & ~COMPRESSED_FLAG
@@ -191,10 +222,15 @@
         raise PeerError(
             f"message length: expected at most {MAX_MESSAGE_BYTES} bytes, got {length}"
         )
+    if length > maximum:
+        raise PeerError(f"request: expected at most {maximum} bytes, got {length}")
+    expanded = maximum if header & COMPRESSED_FLAG else length
+    if client is not None and length > MIN_HELD_BYTES and not client.hold(expanded):
+        raise PeerError("the memory for requests is in use")
     body = await reader.receive_exactly(length)
     if not header & COMPRESSED_FLAG:
         return body
     try:
-        return decompress(body, MAX_DECOMPRESSED_BYTES)
+        return decompress(body, maximum)
     except ValueError as error:
         raise PeerError(f"compressed message: {error}") from error
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -12,6 +12,13 @@
 import structlog
 from anyio.abc import SocketStream, TaskGroup
 
+from rosemaryward.decisions.clients import (
+    Client,
+    ClientLimits,
+    ClientState,
+    ClientTable,
+    report_limits,
+)
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
@@ -27,6 +34,12 @@
 )
 from rosemaryward.decisions.relays.service import RelayService, RelaySession
 from rosemaryward.decisions.types import Rank
+from rosemaryward.peers.clients import (
+    DEFAULT_LIMITS,
+    admitted,
+    bound_receive_buffers,
+    count_memory,
+)
 from rosemaryward.peers.frames import FrameReader
 from rosemaryward.peers.multiplex import RECEIVE_BYTES, MultiplexedConnection
 from rosemaryward.peers.send_queue import SendQueue
@@ -40,6 +53,7 @@
 SILENCE_TIMEOUT_S = 0.3  # several scheduling periods under a CPU quota
 PROBE_INTERVAL_S = 1.0  # shorter than the selector avoids a relay after one failure
 UNSOLICITED_REQUEST_ID = 0
+MAX_NAME_BYTES = 1024
 
 log = structlog.get_logger(__name__)
 
@@ -243,10 +257,18 @@
         Address to listen on, ``host:port``.
     service : RelayService
         Handles the requests.
+    limits : ClientLimits, optional
+        Limits on the connections of all proxies.
     """
 
-    def __init__(self, address: str, service: RelayService) -> None:
+    def __init__(
+        self,
+        address: str,
+        service: RelayService,
+        limits: ClientLimits = DEFAULT_LIMITS.peers,
+    ) -> None:
         self.address = address
+        self.clients = ClientTable(limits, boot_time_s)
         self.service = service
         self.send_queues: set[SendQueue] = set()
         self.task_group: TaskGroup | None = None
@@ -257,7 +279,9 @@
         listener = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port)
         )
+        bound_receive_buffers(listener)
         async with listener, anyio.create_task_group() as self.task_group:
+            self.task_group.start_soon(report_limits, self.clients, "relays")
             await listener.serve(self._serve)
 
     def leave(self) -> None:
@@ -270,17 +294,26 @@
         send_queue.put(UNSOLICITED_REQUEST_ID, _encoder.encode(Leaving()), Rank.URGENT)
 
     async def _serve(self, stream: SocketStream) -> None:
+        try:
+            async with stream:
+                with admitted(self.clients) as client:
+                    await self._serve_proxy(stream, client)
+        except PeerError as error:
+            log.info("proxy refused", error=str(error))
+
+    async def _serve_proxy(self, stream: SocketStream, client: Client) -> None:
         send_queue = SendQueue(stream, LinkPurpose.RESULT)
         session: RelaySession | None = None
         self.send_queues.add(send_queue)
         try:
-            async with stream, anyio.create_task_group() as group:
+            async with anyio.create_task_group() as group:
                 group.start_soon(send_queue.run)
                 name, data = await _receive_name(stream)
+                client.enter(ClientState.IDLE)
                 session = self.service.session(name)
                 if self.service.leaving:
                     self._announce_end(send_queue)
-                await self._read(stream, data, session, send_queue)
+                await self._read(stream, data, session, send_queue, client)
         except* (
             anyio.EndOfStream,
             anyio.BrokenResourceError,
@@ -299,6 +332,7 @@
         data: bytes,
         session: RelaySession,
         send_queue: SendQueue,
+        client: Client,
     ) -> None:
         """Start a task for each received request.
 
@@ -319,6 +353,7 @@
                     self.task_group.start_soon(
                         self._answer, session, request_id, request, send_queue
                     )
+            count_memory(client, reader, send_queue)
             data = await stream.receive(RECEIVE_BYTES)
 
     async def _answer(
@@ -341,7 +376,9 @@
     """Return the name of the connecting proxy and the bytes received after it."""
     data = b""
     while b"\n" not in data:
-        data += await stream.receive(RECEIVE_BYTES)
+        if len(data) > MAX_NAME_BYTES:
+            raise PeerError(f"name: expected at most {MAX_NAME_BYTES} bytes")
+        data += await stream.receive(MAX_NAME_BYTES)
     name, _, rest = data.partition(b"\n")
     return name.decode(errors="replace"), rest
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/send_queue.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/send_queue.py
@@ -12,7 +12,7 @@
     compress_if_smaller,
 )
 from rosemaryward.decisions.types import Rank
-from rosemaryward.peers.frames import FRAGMENT_BYTES, split_frames
+from rosemaryward.peers.frames import FRAGMENT_BYTES, HEADER_BYTES, split_frames
 
 __all__ = ["SendQueue"]
 
@@ -30,9 +30,14 @@
     link : LinkShaper, optional
         Shapes the traffic of a connection between regions. Messages are then
         compressed, and sent when the shaper permits.
+
+    Attributes
+    ----------
+    queued_bytes : int
+        Bytes of the messages that are not sent yet.
     """
 
-    __slots__ = ("link", "purpose", "queues", "stream", "wakeup")
+    __slots__ = ("link", "purpose", "queued_bytes", "queues", "stream", "wakeup")
 
     def __init__(
         self,
@@ -44,15 +49,18 @@
         self.purpose = purpose
         self.link = link
         self.queues: dict[Rank, deque[Iterator[bytes]]] = {r: deque() for r in Rank}
+        self.queued_bytes = 0
         self.wakeup = anyio.Event()
 
     def put(self, request_id: int, payload: bytes, rank: Rank) -> None:
         """Queue an encoded message."""
+        self.queued_bytes += len(payload)
         if self.link is None:
             frames = split_frames(request_id, payload)
         else:
             encoded, compressed = compress_if_smaller(payload)
             fragment_bytes = min(FRAGMENT_BYTES, self.link.chunk_bytes)
+            self.queued_bytes += len(encoded) - len(payload)
             frames = split_frames(request_id, encoded, fragment_bytes, compressed)
         self.queues[rank].append(frames)
         self.wakeup.set()
@@ -85,6 +93,7 @@
                 if frame is not None:
                     frames.append(frame)
                     size += len(frame)
+                    self.queued_bytes -= len(frame) - HEADER_BYTES
                     queue.append(message)
             if frames:
                 return rank, b"".join(frames)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
@@ -12,6 +12,7 @@
 
 from rosemaryward.decisions.errors import PeerError, SettingsError
 from rosemaryward.operators.logs import configure_logging
+from rosemaryward.proxy.memory import return_freed_memory
 from rosemaryward.proxy.node import ProxyNode
 from rosemaryward.proxy.settings import ProxySettings
 
@@ -29,6 +30,7 @@
         configure_logging(settings.log_level)
     except SettingsError as error:
         _fail(str(error), EXIT_USAGE)
+    return_freed_memory()
     # mysql_mimic logs every rejected statement; the metrics count them already.
     logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
     try:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -13,6 +13,7 @@
 from rosemaryward.decisions.errors import SettingsError
 from rosemaryward.operators.bounded_logs import configure_bounded_logging
 from rosemaryward.platform.settings import SETTINGS_VARIABLE, read_settings
+from rosemaryward.proxy.memory import return_freed_memory
 from rosemaryward.proxy.platform_node import PlatformNode
 
 __all__ = ["main"]
@@ -32,6 +33,7 @@
         print(f"rosemaryward-proxy: {error}", file=sys.stderr)
         raise SystemExit(EXIT_USAGE) from error
     configure_bounded_logging(settings.name)
+    return_freed_memory()
     node = PlatformNode(settings, path)
     try:
         anyio.run(
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -165,7 +165,9 @@
             self.target_selector.group_samples,
             wait_until_loaded=lambda: self.mirror.loaded.wait(),
         )
-        self.relay_server = RelayServer(settings.relay_address, self.relay_service)
+        self.relay_server = RelayServer(
+            settings.relay_address, self.relay_service, self.limits.peers
+        )
         self.executor = Executor(
             self.target_selector, self.statement_log.attempt_failed
         )
@@ -462,7 +464,9 @@
             self.group_control,
             self.mirror.history,
         )
-        return MemberServer(self.settings.peer_address, handler.handle)
+        return MemberServer(
+            self.settings.peer_address, handler.handle, self.limits.control
+        )
 
     async def _refresh_members(self) -> None:
         """Read the members from the store; raises `StoreError`."""
