Bound the connections and the memory of MySQL clients, operators and peers

A connection with commands sent ahead now lets others run between two commands, and one long message is passed on per pass of the event loop.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/errors.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/errors.py
@@ -13,7 +13,7 @@
 )
 from rosemaryward.decisions.routing.attributes import AttributeValueError
 
-__all__ = ["shutdown_error", "to_mysql_error"]
+__all__ = ["memory_error", "shutdown_error", "to_mysql_error"]
 
 NOT_RUN_CODE = 1205  # lock wait timeout; client libraries treat it as retryable
 UNKNOWN_CODE = 1317  # query execution was interrupted
@@ -60,6 +60,13 @@
     )
 
 
+def memory_error() -> MysqlError:
+    """Return the error for a statement that the memory does not suffice for."""
+    return MysqlError(
+        "not run: the memory for long statements is in use", _error_code(NOT_RUN_CODE)
+    )
+
+
 def _error_code(number: int) -> ErrorCode:
     try:
         return ErrorCode(number)
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import ssl
 from collections.abc import Callable
 from types import TracebackType
@@ -17,17 +18,24 @@
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.stream import MysqlStream
 
-from rosemaryward.callers.reader import CommandReader
+from rosemaryward.callers.limits import mysql_limits
+from rosemaryward.callers.reader import CallerProtocol, CommandReader
 from rosemaryward.callers.session import (
     AccountSource,
     CallerConnection,
     MysqlSession,
     StatementRunner,
 )
+from rosemaryward.decisions.clients import ClientLimits, ClientTable, derive_limits
+from rosemaryward.decisions.clock import boot_time_s
 
 __all__ = ["CallerServer"]
 
 DRAIN_POLL_INTERVAL_S = 0.02
+RECEIVE_BUFFER_BYTES = 32 * 1024
+"""Receive buffer of each connection, which the system doubles."""
+DEFAULT_LIMITS = mysql_limits(derive_limits(memory_mib=200, descriptors=4300))
+"""Limits of the smallest host."""
 DRAIN_IDLE_TIMEOUT_S = 2.0
 """Idle time after which a connection is closed during a drain."""
 
@@ -76,6 +84,13 @@
         Server context; callers may then use TLS.
     on_connection_count : callable, optional
         Called with the number of open connections after each change.
+    limits : ClientLimits, optional
+        Limits on the connections of all callers.
+
+    Attributes
+    ----------
+    clients : ClientTable
+        Open connections with their limits.
     """
 
     def __init__(
@@ -86,7 +101,9 @@
         accounts: AccountSource,
         tls: ssl.SSLContext | None = None,
         on_connection_count: Callable[[int], None] = lambda count: None,
+        limits: ClientLimits = DEFAULT_LIMITS,
     ) -> None:
+        self.clients = ClientTable(limits, boot_time_s)
         self.host = host
         self.port = port
         self.runner = runner
@@ -99,12 +116,14 @@
 
     async def __aenter__(self) -> "CallerServer":
         loop = asyncio.get_running_loop()
+        long_messages = asyncio.Lock()
 
-        def create_protocol() -> asyncio.StreamReaderProtocol:
-            reader = CommandReader(loop=loop)
-            return asyncio.StreamReaderProtocol(reader, self._serve, loop=loop)
+        def create_protocol() -> CallerProtocol:
+            reader = CommandReader(loop, long_messages)
+            return CallerProtocol(reader, self._serve, loop)
 
-        self.server = await loop.create_server(create_protocol, self.host, self.port)
+        listener = _listen(self.host, self.port)
+        self.server = await loop.create_server(create_protocol, sock=listener)
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
@@ -157,8 +176,21 @@
         if connection is not None:
             connection.stream.writer.close()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    async def _serve(self, reader: CommandReader, writer: asyncio.StreamWriter) -> None:
+        abort = writer.transport.abort
+        client = self.clients.admit(abort, abort)
+        if client is None:
+            abort()
+            return
+        reader.client = client
+        try:
+            await self._serve_client(reader, writer)
+        finally:
+            self.clients.remove(client)
+            writer.close()
+
+    async def _serve_client(
+        self, reader: CommandReader, writer: asyncio.StreamWriter
     ) -> None:
         session = MysqlSession(self.runner, self.accounts)
         connection = CallerConnection(
@@ -168,6 +200,7 @@
             self.identity_provider,
             ssl=self.tls,
         )
+        reader.is_in_transaction = lambda: _is_in_transaction(session)
         self.sessions[session] = connection
         self.on_connection_count(len(self.sessions))
         try:
@@ -181,7 +214,14 @@
         finally:
             self.sessions.pop(session, None)
             self.on_connection_count(len(self.sessions))
-            writer.close()
+
+
+def _listen(host: str, port: int) -> socket.socket:
+    """Return a listening socket whose connections have small receive buffers."""
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.create_server((host, port), family=family)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    return listener
 
 
 def _may_close(session: MysqlSession, reader: CommandReader) -> bool:
@@ -189,5 +229,8 @@
     idle_s = reader.idle_s()
     if session.is_refused:
         return idle_s > 0.0
-    in_transaction = session.state is not None and session.state.transaction is not None
-    return not in_transaction and idle_s > DRAIN_IDLE_TIMEOUT_S
+    return not _is_in_transaction(session) and idle_s > DRAIN_IDLE_TIMEOUT_S
+
+
+def _is_in_transaction(session: MysqlSession) -> bool:
+    return session.state is not None and session.state.transaction is not None
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/session.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/session.py
@@ -8,8 +8,9 @@
 from mysql_mimic.session import Session
 from sqlglot import exp
 
-from rosemaryward.callers.errors import shutdown_error, to_mysql_error
+from rosemaryward.callers.errors import memory_error, shutdown_error, to_mysql_error
 from rosemaryward.callers.results import to_result_set
+from rosemaryward.decisions.clients import ClientState
 from rosemaryward.decisions.errors import OverloadError, RosemarywardError
 from rosemaryward.decisions.messages import StatementResult
 from rosemaryward.decisions.routing.attributes import (
@@ -29,6 +30,9 @@
 
 __all__ = ["CallerConnection", "MysqlSession", "StatementRunner"]
 
+MAX_KEPT_BYTES = 64 * 1024 * 1024
+"""Prepared statements and parameters of one connection: four of the longest packets."""
+PREPARED_OVERHEAD_BYTES = 500
 TOKEN_QUERY = f"select @{ATTRIBUTE_PREFIX}token"
 
 
@@ -210,6 +214,55 @@
     """
 
     refusal: OverloadError | None = None
+    prepared_bytes = 0
+    long_data_bytes = 0
+
+    async def handle_stmt_prepare(self, data: bytes) -> None:
+        """Prepare a statement, unless those of the connection take too much memory."""
+        size = len(data) + PREPARED_OVERHEAD_BYTES
+        self._keep(self.prepared_bytes + size, self.long_data_bytes)
+        await super().handle_stmt_prepare(data)
+
+    async def handle_stmt_close(self, data: bytes) -> None:
+        """Forget a prepared statement."""
+        await super().handle_stmt_close(data)
+        statements = self.prepared_stmts.values()
+        self._keep(
+            sum(len(x.sql) + PREPARED_OVERHEAD_BYTES for x in statements),
+            self.long_data_bytes,
+        )
+
+    async def handle_stmt_send_long_data(self, data: bytes) -> None:
+        """Add to a parameter; there is no reply that could refuse it."""
+        try:
+            self._keep(self.prepared_bytes, self.long_data_bytes + len(data))
+        except MysqlError:
+            self.stream.reader.client.abort()
+            return
+        await super().handle_stmt_send_long_data(data)
+
+    async def handle_stmt_execute(self, data: bytes) -> None:
+        """Run a prepared statement, which releases its parameters."""
+        await super().handle_stmt_execute(data)
+        if self.long_data_bytes:
+            self._keep(self.prepared_bytes, self._count_long_data())
+
+    def _count_long_data(self) -> int:
+        buffers = (x.param_buffers or {} for x in self.prepared_stmts.values())
+        return sum(len(part) for buffer in buffers for part in buffer.values())
+
+    def _keep(self, prepared_bytes: int, long_data_bytes: int) -> None:
+        """Count what stays between two commands; raises `MysqlError`."""
+        total = prepared_bytes + long_data_bytes
+        if total > MAX_KEPT_BYTES or not self.stream.reader.client.keep(total):
+            raise memory_error()
+        self.prepared_bytes = prepared_bytes
+        self.long_data_bytes = long_data_bytes
+
+    async def command_phase(self) -> None:
+        """Serve commands; the connection has finished its login."""
+        self.stream.reader.client.enter(ClientState.IDLE)
+        await super().command_phase()
 
     async def authenticate(self, username: str, *args: Any, **kwargs: Any) -> None:
         """Check the tenant's connection limit, then the credentials."""
@@ -224,6 +277,11 @@
 
     def error(self, **kwargs: Any) -> bytes:
         """Return an error packet; the base class uses one code for all refusals."""
+        reader = self.stream.reader
+        if reader.is_refused:
+            reader.is_refused = False
+            refusal = memory_error()
+            kwargs.update(msg=refusal.msg, code=refusal.code)
         if self.refusal is not None:
             kwargs.update(msg=self.refusal.reason, code=ErrorCode.CON_COUNT_ERROR)
         return super().error(**kwargs)
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/server.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/server.py
@@ -12,7 +12,15 @@
 import uvicorn
 from starlette.applications import Starlette
 
+from rosemaryward.decisions.clients import (
+    ClientLimits,
+    ClientTable,
+    derive_limits,
+    report_limits,
+)
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import SettingsError
+from rosemaryward.operators.bounded_http import bounded_protocol
 from rosemaryward.operators.tls import ReloadingTlsContext, TlsFiles
 
 __all__ = ["AdminServer"]
@@ -21,6 +29,7 @@
 KEEP_ALIVE_TIMEOUT_S = 5
 SHUTDOWN_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16_384
+DEFAULT_LIMITS = derive_limits(memory_mib=200, descriptors=4300).internal
 
 
 class _Server(uvicorn.Server):
@@ -60,13 +69,27 @@
     certificate, key : Path, optional
         PEM files; required unless `host` is a loopback address.
 
+    limits : ClientLimits, optional
+        Limits on the connections of all operators.
+
     Attributes
     ----------
     port : int
         Port in use, set when the context is entered.
+    clients : ClientTable
+        Open connections with their limits.
     """
 
-    __slots__ = ("_server", "_stack", "app", "certificate", "host", "key", "port")
+    __slots__ = (
+        "_server",
+        "_stack",
+        "app",
+        "certificate",
+        "clients",
+        "host",
+        "key",
+        "port",
+    )
 
     def __init__(
         self,
@@ -75,7 +98,9 @@
         port: int,
         certificate: Path | None = None,
         key: Path | None = None,
+        limits: ClientLimits = DEFAULT_LIMITS,
     ) -> None:
+        self.clients = ClientTable(limits, boot_time_s)
         self.app = app
         self.host = host
         self.port = port
@@ -95,7 +120,8 @@
             stack.callback(listener.close)
             self._server = _Server(config)
             tasks = await stack.enter_async_context(anyio.create_task_group())
-            tasks.start_soon(self._server.serve, [listener])
+            tasks.start_soon(self._serve, [listener], tasks.cancel_scope)
+            tasks.start_soon(report_limits, self.clients, "operators")
             stack.callback(self._stop)
             await self._server.listening.wait()
             self._stack = stack.pop_all()
@@ -112,6 +138,7 @@
     async def _configure(self, stack: AsyncExitStack) -> uvicorn.Config:
         config = uvicorn.Config(
             self.app,
+            http=bounded_protocol(self.clients),
             log_config=None,
             access_log=False,
             lifespan="off",
@@ -140,5 +167,12 @@
         self.port = listener.getsockname()[1]
         return listener
 
+    async def _serve(
+        self, listeners: list[socket.socket], scope: anyio.CancelScope
+    ) -> None:
+        """Serve until `_stop`, then end the reports on the limits."""
+        await self._server.serve(listeners)
+        scope.cancel()
+
     def _stop(self) -> None:
         self._server.should_exit = True
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -14,6 +14,14 @@
 from anyio.abc import ByteReceiveStream, ByteStream, SocketAttribute, TaskGroup
 from anyio.streams.tls import TLSListener
 
+from rosemaryward.decisions.clients import (
+    Client,
+    ClientLimits,
+    ClientState,
+    ClientTable,
+    report_limits,
+)
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import NotRunError, PeerError
 from rosemaryward.decisions.interfaces import StatementHandler
 from rosemaryward.decisions.links import LinkPurpose, LinkShaper
@@ -25,6 +33,12 @@
     StatementRequest,
 )
 from rosemaryward.decisions.types import Rank
+from rosemaryward.peers.clients import (
+    DEFAULT_LIMITS,
+    admitted,
+    bound_receive_buffers,
+    count_memory,
+)
 from rosemaryward.peers.frames import (
     FrameReader,
     decode_reply,
@@ -177,6 +191,8 @@
         Shapes the traffic of connections from proxies in other regions.
     tls : ssl.SSLContext, optional
         Server context that requires a client certificate; plain TCP without it.
+    limits : ClientLimits, optional
+        Limits on the connections of all proxies.
 
     Attributes
     ----------
@@ -193,7 +209,10 @@
         region: str = "",
         link: LinkShaper | None = None,
         tls: ssl.SSLContext | None = None,
+        *,
+        limits: ClientLimits = DEFAULT_LIMITS.peers,
     ) -> None:
+        self.clients = ClientTable(limits, boot_time_s)
         self.host = host
         self.port = port
         self.handler = handler
@@ -208,10 +227,12 @@
         listener = await anyio.create_tcp_listener(
             local_host=self.host, local_port=self.port
         )
+        bound_receive_buffers(listener)
         self.listener = listener
         self.port = listener.extra(SocketAttribute.local_port)
         self.task_group = anyio.create_task_group()
         await self.task_group.__aenter__()
+        self.task_group.start_soon(report_limits, self.clients, "statements")
         if self.tls is not None:
             tls_listener = TLSListener(listener, self.tls, standard_compatible=False)
             self.task_group.start_soon(tls_listener.serve, self._serve)
@@ -233,23 +254,36 @@
     async def _serve(self, stream: ByteStream) -> None:
         async with stream:
             try:
-                with anyio.fail_after(HELLO_TIMEOUT_S):
-                    hello, rest = await _read_hello(stream)
-            except (PeerError, TimeoutError, anyio.EndOfStream, OSError):
+                with admitted(self.clients) as client:
+                    await self._serve_admitted(stream, client)
+            except PeerError:
                 self.rejected_connections += 1
-                return
-            sender, _, region = hello.partition(" ")
-            link = self.link if region != self.region else None
-            send_queue = SendQueue(stream, LinkPurpose.RESULT, link)
-            await self._serve_peer(stream, sender, rest, send_queue)
+
+    async def _serve_admitted(self, stream: ByteStream, client: Client) -> None:
+        try:
+            with anyio.fail_after(HELLO_TIMEOUT_S):
+                hello, rest = await _read_hello(stream)
+        except (PeerError, TimeoutError, anyio.EndOfStream, OSError):
+            self.rejected_connections += 1
+            return
+        client.enter(ClientState.IDLE)
+        sender, _, region = hello.partition(" ")
+        link = self.link if region != self.region else None
+        send_queue = SendQueue(stream, LinkPurpose.RESULT, link)
+        await self._serve_peer(stream, sender, rest, send_queue, client)
 
     async def _serve_peer(
-        self, stream: ByteStream, sender: str, rest: bytes, send_queue: SendQueue
+        self,
+        stream: ByteStream,
+        sender: str,
+        rest: bytes,
+        send_queue: SendQueue,
+        client: Client,
     ) -> None:
         try:
             async with anyio.create_task_group() as group:
                 group.start_soon(send_queue.run)
-                await self._read_requests(stream, sender, rest, send_queue)
+                await self._read_requests(stream, sender, rest, send_queue, client)
                 group.cancel_scope.cancel()
         except* (anyio.BrokenResourceError, anyio.EndOfStream, OSError):
             pass
@@ -259,7 +293,12 @@
             self.on_disconnect(sender)
 
     async def _read_requests(
-        self, stream: ByteStream, sender: str, rest: bytes, send_queue: SendQueue
+        self,
+        stream: ByteStream,
+        sender: str,
+        rest: bytes,
+        send_queue: SendQueue,
+        client: Client,
     ) -> None:
         """Start a task for each received request.
 
@@ -275,6 +314,7 @@
                 self.task_group.start_soon(
                     self._answer, sender, request_id, message, send_queue
                 )
+            count_memory(client, reader, send_queue)
             data = await stream.receive(RECEIVE_BYTES)
             if send_queue.link is not None:
                 send_queue.link.count_received(len(data), None, LinkPurpose.STATEMENT)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/main.py
@@ -12,7 +12,7 @@
 
 from rosemaryward.decisions.errors import PeerError, SettingsError
 from rosemaryward.operators.logs import configure_logging
-from rosemaryward.proxy.memory import return_freed_memory
+from rosemaryward.proxy.memory import raise_descriptor_limit, return_freed_memory
 from rosemaryward.proxy.node import ProxyNode
 from rosemaryward.proxy.settings import ProxySettings
 
@@ -31,6 +31,7 @@
     except SettingsError as error:
         _fail(str(error), EXIT_USAGE)
     return_freed_memory()
+    raise_descriptor_limit()
     # mysql_mimic logs every rejected statement; the metrics count them already.
     logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
     try:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
@@ -10,7 +10,9 @@
 import anyio
 import structlog
 
+from rosemaryward.callers.limits import mysql_limits
 from rosemaryward.callers.server import CallerServer
+from rosemaryward.decisions.clients import report_limits
 from rosemaryward.decisions.document import check_document
 from rosemaryward.decisions.document.schema import DatabaseSection
 from rosemaryward.decisions.document.stored import StoredDocument
@@ -78,6 +80,7 @@
         self.settings = settings
         self.log = structlog.get_logger().bind(host_id=settings.host_id)
         self.random = random.Random()
+        self.limits = settings.client_limits()
         self.exit_stack = AsyncExitStack()
         self.credentials = Credentials(
             settings.endpoint_user, settings.endpoint_password
@@ -104,6 +107,7 @@
             self.owner_service.roll_back_sender,
             settings.region,
             self.link,
+            limits=self.limits.peers,
         )
         self.statement_client = StatementClient(
             settings.host_id, settings.region, self.link, server_name=settings.peer_name
@@ -192,6 +196,7 @@
             settings.admin_port,
             Path(settings.certificate) if settings.certificate else None,
             Path(settings.key) if settings.key else None,
+            self.limits.internal,
         )
 
     def _create_ownership_parts(self) -> None:
@@ -338,7 +343,9 @@
             self,
             self.tls.caller_server,
             on_connection_count=self.metrics.set_caller_connections,
+            limits=mysql_limits(self.limits),
         )
+        self.tasks.start_soon(report_limits, server.clients, "callers")
         self.caller_server = await self.exit_stack.enter_async_context(server)
         self.log.info("accepting callers", port=server.port)
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/settings.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/settings.py
@@ -8,13 +8,17 @@
 
 import cappa
 
+from rosemaryward.decisions.clients import ProcessLimits, derive_limits
 from rosemaryward.decisions.errors import SettingsError
 from rosemaryward.decisions.types import Place
+from rosemaryward.proxy.memory import descriptor_limit, machine_memory_mib
 
 __all__ = ["ProxySettings"]
 
 MAX_PORT = 65535
 MAX_GRACE_S = 3600.0
+MAX_MEMORY_MIB = 1024.0 * 1024.0
+MAX_DESCRIPTORS = 1 << 20
 HOST_ID_PATTERN = re.compile(r"[\w.-]{1,64}", re.ASCII)
 VARIABLE_PREFIX = "ROSEMARYWARD_"
 
@@ -97,6 +101,14 @@
         str,
         _option("admin-tokens", "JSON file of hashed tokens with roles", ""),
     ]
+    memory_mb: Annotated[
+        float,
+        _option("memory-mb", "Memory of this process in MiB, 0 for the machine's", "0"),
+    ]
+    max_fds: Annotated[
+        int,
+        _option("max-fds", "Descriptors of this process, 0 for its limit", "0"),
+    ]
     log_level: Annotated[str, _option("log-level", "Lowest level of log lines", "info")]
     seed_peer: Annotated[
         list[str],
@@ -113,6 +125,13 @@
         """Gossip addresses of the seed peers as host and port."""
         return [_parse_address("--seed-peer", text) for text in self.seed_peer]
 
+    def client_limits(self) -> ProcessLimits:
+        """Return the limits on clients that follow from memory and descriptors."""
+        return derive_limits(
+            self.memory_mb or machine_memory_mib(),
+            self.max_fds or descriptor_limit(),
+        )
+
     def check(self) -> None:
         """Raise `SettingsError` for the first invalid setting."""
         for name in ("host_id", "region", "failure_domain", "environment", "store_url"):
@@ -130,6 +149,8 @@
             _check_ip("--advertise-host", self.advertise_host)
         for name in ("mysql_port", "statement_port", "gossip_port", "admin_port"):
             _check_range(name, getattr(self, name), 0, MAX_PORT)
+        _check_range("memory_mb", self.memory_mb, 0.0, MAX_MEMORY_MIB)
+        _check_range("max_fds", self.max_fds, 0, MAX_DESCRIPTORS)
         _check_range("weight", self.weight, 0.01, 100.0)
         _check_range("grace_s", self.grace_s, 0.0, MAX_GRACE_S)
         if bool(self.certificate) != bool(self.key):
