--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -268,11 +268,9 @@
             await self._check_operation(statement, route)
         except OperationRefusedError as error:
             return await self._refuse_operation(statement, error), route, ""
-        if statement.kind is StatementKind.UNREADABLE:
-            return self._failure_reply(Failure.MALFORMED, statement.text), route, ""
-        if transaction is not None and transaction.failed:
-            return self._serve_in_failed_transaction(statement), route, ""
-        local = self._serve_locally(statement, route, started_at)
+        local = await self._refuse_unusable(statement)
+        if local is None:
+            local = self._serve_locally(statement, route, started_at)
         if local is not None:
             return local, route, ""
         try:
@@ -323,6 +321,24 @@
             Failure.ROLLED_BACK, f"the transaction was rolled back: {error.reason}"
         )
 
+    async def _refuse_unusable(self, statement: Statement) -> Reply | None:
+        """Reply to a statement that cannot be run as received, else return None."""
+        if statement.kind is StatementKind.UNREADABLE:
+            return self._failure_reply(Failure.MALFORMED, statement.text)
+        transaction = self.transaction
+        if transaction is not None and transaction.failed:
+            return self._serve_in_failed_transaction(statement)
+        if statement.kind is not StatementKind.REFUSED:
+            return None
+        if transaction is None:
+            return self._failure_reply(Failure.BUSY, statement.text)
+        # A refusal as not run would promise that nothing of the transaction is kept.
+        transaction.failed = True
+        await transaction.roll_back()
+        return self._failure_reply(
+            Failure.ROLLED_BACK, f"the transaction was rolled back: {statement.text}"
+        )
+
     def _serve_in_failed_transaction(self, statement: Statement) -> Reply:
         """Reply to a statement of a transaction that can only be rolled back."""
         if statement.kind is StatementKind.ROLLBACK:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
@@ -136,6 +136,25 @@
     assert harness.connector.discarded
 
 
+@pytest.mark.parametrize(
+    ("texts", "failures"),
+    [
+        pytest.param(["REFUSED", "READ a"], [Failure.BUSY, None], id="idle"),
+        pytest.param(
+            ["BEGIN", "WRITE a 1", "REFUSED", "COMMIT"],
+            [None, None, Failure.ROLLED_BACK, Failure.ROLLED_BACK],
+            id="in-a-transaction",
+        ),
+    ],
+)
+async def test_statement_that_was_dropped_for_want_of_memory(texts, failures):
+    """Guards against a commit of a transaction that lacks the dropped statement."""
+    harness = GatewayHarness()
+    replies = await harness.serve(*texts)
+    assert [reply.failure for reply in replies] == failures
+    assert "COMMIT" not in harness.primary.texts()
+
+
 async def test_rollback_of_a_failed_transaction_ends_it():
     """Guards against a session that stays failed after ROLLBACK."""
     harness = GatewayHarness()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_callers.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_callers.py
@@ -5,6 +5,7 @@
 import anyio
 import structlog
 
+from rosemaryward.decisions.clients import ClientLimits
 from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.gateway.execution import Executor
 from rosemaryward.decisions.gateway.outcomes import ConnectionState, Failure, Reply
@@ -54,6 +55,8 @@
         Receives the outcomes of the statements.
     tenants : TenantAccess
         Authorizes the callers.
+    limits : ClientLimits
+        Limits on the connections of all callers.
 
     Attributes
     ----------
@@ -74,6 +77,7 @@
         executor: Callable[[], Executor],
         statement_log: StatementLog,
         tenants: TenantAccess,
+        limits: ClientLimits,
     ) -> None:
         self.environment = environment
         self.mirror = mirror
@@ -84,7 +88,7 @@
         self.configured = anyio.Event()
         self.sessions: set[CallerSession] = set()
         self.server = LineCallerServer(
-            address, self.has_route, self.serve, self.check_key
+            address, self.has_route, self.serve, self.check_key, limits
         )
 
     def _is_current(self) -> bool:
@@ -180,6 +184,8 @@
             self.statement_log,
             access=self.tenants.access(CallerKey(caller.encode(ENCODING))),
         )
+        if channel.lines.client is not None:
+            channel.lines.client.end = session.end
         if self.server.refusal:
             session.end(self.server.refusal)
         self.sessions.add(session)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from rosemaryward.decisions.clients import derive_limits
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import (
@@ -114,6 +115,7 @@
         self.settings = settings
         self.settings_path = settings_path
         self.incarnation = secrets.token_hex(8)
+        self.limits = derive_limits(settings.memory_mib, settings.max_fds)
         self.environment = NO_ENVIRONMENT
         self.metrics = ProxyMetrics(settings.name)
         self.store = PlatformStore(settings.store_address)
@@ -170,7 +172,9 @@
             self.target_selector.group_samples,
             wait_until_loaded=lambda: self.mirror.loaded.wait(),
         )
-        self.relay_server = RelayServer(settings.relay_address, self.relay_service)
+        self.relay_server = RelayServer(
+            settings.relay_address, self.relay_service, self.limits.peers
+        )
         self.executor = Executor(
             self.target_selector, self.statement_log.attempt_failed
         )
@@ -267,6 +271,7 @@
             lambda: self.executor,
             self.statement_log,
             self.tenants,
+            self.limits.callers,
         )
         self.caller_server = self.callers.server
         self.sessions = self.callers.sessions
@@ -456,7 +461,9 @@
             self.group_control,
             self.mirror.history,
         )
-        return MemberServer(self.settings.peer_address, handler.handle)
+        return MemberServer(
+            self.settings.peer_address, handler.handle, self.limits.control
+        )
 
     async def _refresh_members(self) -> None:
         """Read the members from the store; raises `StoreError`."""
