--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/donor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/donor.py
@@ -34,6 +34,9 @@
 AVOIDANCE_S = 2.0  # of an allocator that did not answer
 LEAVING_AVOIDANCE_S = 10.0  # longer than the grace period of a stopping process
 CONTACT_VALIDITY_S = 2.5  # of the allocator's clock in its last reply
+# An allocator that started earlier may have taken over from one that still holds a
+# slice of this host's earlier process.
+STARTED_TOGETHER_S = 0.7
 ROUNDING = 1e-9
 
 log = structlog.get_logger(__name__)
@@ -145,6 +148,8 @@
         Last reply of each allocator, by incarnation.
     avoid_until : dict of str to float
         Time until which an allocator gets no donation, by incarnation.
+    leaving : set of str
+        Incarnations of the avoided allocators that still return donations.
     counts : dict of str to int
         Messages sent and failed.
     """
@@ -168,6 +173,7 @@
         self.slices: dict[str, _Slice] = {}
         self.contacts: dict[str, _Contact] = {}
         self.avoid_until: dict[str, float] = {}
+        self.leaving: set[str] = set()
         self.sequences = itertools.count(1)
         self.replied = anyio.Event()
         self.counts = {"sent": 0, "failed": 0}
@@ -211,12 +217,15 @@
         """Give nothing to an allocator for a while."""
         now = self.clock()
         self.avoid_until = {i: t for i, t in self.avoid_until.items() if t > now}
+        self.leaving &= self.avoid_until.keys()
+        self.leaving.discard(member.incarnation)
         self.avoid_until[member.incarnation] = now + duration_s
         self.contacts.pop(member.incarnation, None)
 
     def avoid_leaving(self, member: MemberRecord) -> None:
         """Give nothing more to an allocator whose process is about to stop."""
         self.avoid(member, LEAVING_AVOIDANCE_S)
+        self.leaving.add(member.incarnation)
         self.replied.set()
 
     # Planning
@@ -292,8 +301,8 @@
         """Return whether no donation of an earlier process of this host is in force.
 
         The earlier process ended before this one started. Its donation has ended, or
-        was made to the same allocator, or to a process that ended as well: an
-        allocator that is as young as this process has just taken the role over.
+        was made to the same allocator, or to a process that ended as well: if the
+        allocator started together with this process, the whole fleet restarts.
         """
         lifetime_s = DONATION_TTL_S + CLOCK_DRIFT_MARGIN_S
         if now >= self.started_at + lifetime_s or part.was_given:
@@ -302,7 +311,9 @@
             return True
         if target.incarnation == self.own.incarnation:
             return True
-        return self.contacts[target.incarnation].uptime_s < lifetime_s
+        contact = self.contacts[target.incarnation]
+        own_uptime_s = contact.received_at - self.started_at
+        return contact.uptime_s < own_uptime_s + STARTED_TOGETHER_S
 
     def _greet(
         self, part: _Slice, target: MemberRecord, now: float
@@ -320,7 +331,8 @@
         holder = part.holder
         if holder is None or not part.commitments or now < part.next_at:
             return None
-        if self.avoid_until.get(holder.incarnation, now) > now:
+        is_avoided = self.avoid_until.get(holder.incarnation, now) > now
+        if is_avoided and holder.incarnation not in self.leaving:
             return None
         part.next_at = now + PLAN_INTERVAL_S
         return self._message(part, holder, 0.0, now)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/test_quota.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/tests/test_quota.py
@@ -183,6 +183,42 @@
     assert allocator.lend(LendRequest("acme", 1)).tokens == 0
 
 
+def exchange(host, allocators):
+    """Deliver the messages that are due; return the names of their receivers."""
+    planned = host.donor.plan(host.clock())
+    for item in planned:
+        reply = allocators[item.member.name].donate(item.message)
+        host.donor.record_reply(item, reply)
+    return [item.member.name for item in planned]
+
+
+@pytest.mark.parametrize("noticed", [True, False])
+def test_slice_moves_at_once_from_a_leaving_allocator(noticed):
+    """Guards against a slice that is unused until the donation ends."""
+    others = [member("h2", "b"), member("h3", "b")]
+    host = Participant(*others)
+    allocators = {"h1": host.allocator} | {
+        other.name: Allocator(
+            other.incarnation, lambda: RATES, QuotaBounds(), host.clock
+        )
+        for other in others
+    }
+    for _ in range(3):
+        exchange(host, allocators)
+        host.clock.now += 0.1
+    leaving = host.donor.slices["b"].holder
+    assert allocators[leaving.name].shares.total == pytest.approx(1 / 6)
+    allocators[leaving.name].leaving = True
+    if noticed:
+        host.donor.avoid_leaving(leaving)
+    for _ in range(12):
+        exchange(host, allocators)
+        host.clock.now += 0.1
+    other = next(o for o in others if o.name != leaving.name)
+    assert allocators[other.name].shares.total == pytest.approx(1 / 6)
+    assert allocators[leaving.name].shares.total == 0
+
+
 def test_refused_hosts_get_successive_turns():
     """Guards against requests that all come back at the same moment."""
     host = Participant()
