--- a/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 
 import anyio
+import structlog
 from mysql_mimic.auth import (
     AuthPlugin,
     IdentityProvider,
@@ -39,6 +40,8 @@
 DRAIN_IDLE_TIMEOUT_S = 2.0
 """Idle time after which a connection is closed during a drain."""
 
+log = structlog.get_logger(__name__)
+
 
 class DocumentIdentityProvider(IdentityProvider):
     """Authenticates callers against the configuration in force.
@@ -211,6 +214,8 @@
                 asyncio.CancelledError,
             ):
                 await connection.start()
+        except Exception as error:  # one connection must not be left open
+            log.info("caller connection failed", error=repr(error))
         finally:
             self.sessions.pop(session, None)
             self.on_connection_count(len(self.sessions))
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
@@ -18,9 +18,9 @@
 CONNECTIONS_MEMORY_SHARE = 1 / 3
 COMMON_MEMORY_SHARE = 1 / 6
 RESERVED_DESCRIPTORS = 200  # for files
-CALLERS_DESCRIPTOR_SHARE = 3 / 8
-PEERS_DESCRIPTOR_SHARE = 3 / 8
-CONTROL_DESCRIPTOR_SHARE = 1 / 8
+CALLERS_DESCRIPTOR_SHARE = 0.35
+PEERS_DESCRIPTOR_SHARE = 0.25
+CONTROL_DESCRIPTOR_SHARE = 0.1
 """The rest is for outgoing connections and the other addresses."""
 STARTING_SHARE = 1 / 4
 ENDING_SHARE = 1 / 8
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -14,6 +14,7 @@
 from aioprometheus.histogram import Histogram as Observations
 from aioprometheus.renderer import render
 
+from rosemaryward.decisions.clients import ClientTable
 from rosemaryward.decisions.links import TrafficKey
 
 __all__ = ["OUTCOMES", "TENANT_LIMIT", "ProxyMetrics"]
@@ -136,6 +137,15 @@
         self.caller_connections = self._gauge(
             "caller_connections", "Open connections of callers"
         )
+        self.client_limits = self._counter(
+            "client_limit_total", "Refused and closed connections by address and cause"
+        )
+        self.client_connections = self._gauge(
+            "client_connections", "Open connections by address"
+        )
+        self.client_held_bytes = self._gauge(
+            "client_held_bytes", "Bytes of long messages and answers by address"
+        )
         self.gossip_bytes = self._counter(
             "gossip_bytes_total", "Gossip bytes by direction"
         )
@@ -230,6 +240,14 @@
         """Set the number of open caller connections."""
         self.caller_connections.set({}, count)
 
+    def set_clients(self, address: str, clients: ClientTable) -> None:
+        """Set the connections at an address, their memory and the limits reached."""
+        labels = {"address": address}
+        self.client_connections.set(labels, len(clients.clients))
+        self.client_held_bytes.set(labels, clients.held_bytes)
+        for cause, count in clients.counts.items():
+            self.client_limits.set(labels | {"cause": cause}, count)
+
     def render(self, accept: Sequence[str] = ()) -> tuple[bytes, dict[str, str]]:
         """Return the metrics in the exposition format and the response headers.
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
@@ -363,6 +363,9 @@
         age_s = anyio.current_time() - self.applied_at if self.applied_at else 0.0
         self.metrics.set_configuration(self.configuration.version, age_s)
         self.metrics.set_gossip_bytes(self.gossip.bytes_in, self.gossip.bytes_out)
+        self.metrics.set_clients("statements", self.statement_server.clients)
+        if self.caller_server is not None:
+            self.metrics.set_clients("callers", self.caller_server.clients)
         for key, size in self.link.traffic.totals.items():
             self.metrics.set_link_bytes(key, size)
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -450,6 +450,8 @@
         def answer() -> tuple[int, bytes]:
             self.metrics.set_caller_connections(len(self.sessions))
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
+            self.metrics.set_clients("callers", self.caller_server.clients)
+            self.metrics.set_clients("relays", self.relay_server.clients)
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
