--- a/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
@@ -5,6 +5,7 @@
 from contextlib import contextmanager
 
 import anyio
+import structlog
 from anyio import TypedAttributeProvider
 from anyio.abc import SocketAttribute
 
@@ -14,6 +15,7 @@
     ClientTable,
     derive_limits,
 )
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.peers.frames import FrameReader
 from rosemaryward.peers.send_queue import SendQueue
@@ -26,6 +28,9 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Receive buffer of each connection, which the system doubles. The event loop reads
 all that has arrived before a connection can stop it."""
+LOG_INTERVAL_S = 1.0
+
+log = structlog.get_logger(__name__)
 
 
 def bound_receive_buffers(listener: TypedAttributeProvider) -> None:
@@ -35,6 +40,32 @@
     )
 
 
+class FailureLog:
+    """Logs failed connections, at most one line a second.
+
+    Attributes
+    ----------
+    suppressed : int
+        Failures since the last line.
+    """
+
+    __slots__ = ("logged_at", "suppressed")
+
+    def __init__(self) -> None:
+        self.logged_at = float("-inf")
+        self.suppressed = 0
+
+    def record(self, event: str, error: BaseException) -> None:
+        """Log a failure unless a line was written within the last second."""
+        now = boot_time_s()
+        if now - self.logged_at < LOG_INTERVAL_S:
+            self.suppressed += 1
+            return
+        log.info(event, error=repr(error), suppressed=self.suppressed)
+        self.logged_at = now
+        self.suppressed = 0
+
+
 @contextmanager
 def admitted(clients: ClientTable) -> Iterator[Client]:
     """Count a connection while the context is open.
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -37,7 +37,12 @@
 )
 from rosemaryward.decisions.links import compress_if_smaller, decompress
 from rosemaryward.decisions.mirror import ChangesReply, ChangesRequest
-from rosemaryward.peers.clients import DEFAULT_LIMITS, admitted, bound_receive_buffers
+from rosemaryward.peers.clients import (
+    DEFAULT_LIMITS,
+    FailureLog,
+    admitted,
+    bound_receive_buffers,
+)
 
 __all__ = ["MemberClient", "MemberServer", "MemberReply", "MemberRequest"]
 
@@ -171,6 +176,7 @@
         self.address = address
         self.handler = handler
         self.clients = ClientTable(limits, boot_time_s)
+        self.failures = FailureLog()
 
     async def run(self) -> None:
         """Serve requests until cancelled."""
@@ -189,7 +195,7 @@
                 with admitted(self.clients) as client:
                     await self._answer(stream, client)
         except (TimeoutError, PeerError, *_FAILURES) as error:
-            log.info("member request failed", error=repr(error))
+            self.failures.record("member request failed", error)
         except Exception:  # one failed request must not stop the server
             log.exception("member request failed unexpectedly")
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -36,6 +36,7 @@
 from rosemaryward.decisions.types import Rank
 from rosemaryward.peers.clients import (
     DEFAULT_LIMITS,
+    FailureLog,
     admitted,
     bound_receive_buffers,
     count_memory,
@@ -269,6 +270,7 @@
     ) -> None:
         self.address = address
         self.clients = ClientTable(limits, boot_time_s)
+        self.failures = FailureLog()
         self.service = service
         self.send_queues: set[SendQueue] = set()
         self.task_group: TaskGroup | None = None
@@ -299,7 +301,7 @@
                 with admitted(self.clients) as client:
                     await self._serve_proxy(stream, client)
         except PeerError as error:
-            log.info("proxy refused", error=str(error))
+            self.failures.record("proxy refused", error)
 
     async def _serve_proxy(self, stream: SocketStream, client: Client) -> None:
         send_queue = SendQueue(stream, LinkPurpose.RESULT)
@@ -320,7 +322,7 @@
             OSError,
             PeerError,
         ) as errors:
-            log.info("proxy disconnected", error=repr(errors.exceptions[0]))
+            self.failures.record("proxy disconnected", errors.exceptions[0])
         finally:
             self.send_queues.discard(send_queue)
             if session is not None:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -330,7 +330,14 @@
         if settings == self.settings:
             log.info("settings unchanged")
             return
-        fixed = ("name", "caller_address", "readiness_address", "peer_address")
+        fixed = (
+            "name",
+            "caller_address",
+            "readiness_address",
+            "peer_address",
+            "memory_mib",
+            "max_fds",
+        )
         for field in fixed:
             if getattr(settings, field) != getattr(self.settings, field):
                 log.warning("setting change requires restart", field=field)
