--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -369,7 +369,14 @@
         if settings == self.settings:
             log.info("settings unchanged")
             return
-        fixed = ("name", "caller_address", "readiness_address", "peer_address")
+        fixed = (
+            "name",
+            "caller_address",
+            "readiness_address",
+            "peer_address",
+            "memory_mib",
+            "max_fds",
+        )
         for field in fixed:
             if getattr(settings, field) != getattr(self.settings, field):
                 log.warning("setting change requires restart", field=field)
@@ -447,6 +454,8 @@
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
             self.tenants.export_metrics()
             self.quota.export_metrics(self.metrics)
+            self.metrics.set_clients("callers", self.caller_server.clients)
+            self.metrics.set_clients("relays", self.relay_server.clients)
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
