--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -14,6 +14,7 @@
 from rosemaryward.decisions.admission.returns import ReturnSchedule
 from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.admission.settings import AdmissionSettings
+from rosemaryward.decisions.admission.warmup import WarmupLimit
 from rosemaryward.decisions.admission.weighted_queue import WeightedRankQueue
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.types import Rank
@@ -41,7 +42,8 @@
     -----
     The queue has no task of its own. Tasks that wait for a slot also watch their
     deadlines. One of them, the poller, offers a slot reserved for urgent statements
-    again, because another rank may have become entitled to it.
+    again, because another rank may have become entitled to it. It also raises the
+    limit of a warm-up that is due without an answer.
 
     Examples
     --------
@@ -65,6 +67,7 @@
         "settings",
         "slots",
         "updated_at",
+        "warmup",
         "weights",
     )
 
@@ -78,6 +81,7 @@
         self.slots = slots
         self.limit = slots
         self.concurrency = ConcurrencyLimit(slots)
+        self.warmup = WarmupLimit(slots)
         self.settings = settings or AdmissionSettings()
         self.ranks = tuple(ranks.get(rank, RankSection()) for rank in Rank)
         self.weights = weights
@@ -135,16 +139,48 @@
         """
         self._update_accounts(current_time())
         used = sum(account.mean_slots_used for account in self.accounts)
+        if self.warmup.active:
+            # The mean lags behind the limit, and others would send too much.
+            used = max(used, self.running)
         return (used + self.queued) / self.limit
 
     def set_slots(self, slots: int) -> None:
         """Change the declared slots; running statements are not interrupted."""
         self._update_accounts(current_time())
         self.slots = slots
-        self.limit = slots
         self.concurrency.set_maximum(slots)
+        self.warmup.set_slots(slots)
+        self._update_limit()
         self._dispatch()
 
+    def begin_warmup(self) -> None:
+        """Limit the work in progress, as the endpoint has started or recovered.
+
+        The limit rises by how the endpoint answers, see `WarmupLimit`. Running
+        statements are not interrupted, and no request is refused because of it.
+        """
+        self.warmup.begin()
+        self._update_limit()
+
+    def record_overload(self) -> None:
+        """Halve the limit of a warm-up after the endpoint refused work as busy."""
+        self.warmup.record_overload()
+        self._update_limit()
+
+    def _update_limit(self) -> None:
+        """Set the limit to the lower one of the measured and the warm-up's."""
+        self.limit = self._limit_without_warmup()
+        if self.warmup.active:
+            self.limit = min(self.limit, self.warmup.limit)
+
+    def _limit_without_warmup(self) -> int:
+        return self.concurrency.limit if self.settings.adaptive else self.slots
+
+    def _advance_warmup(self) -> None:
+        if self.warmup.active:
+            self.warmup.advance(self.updated_at, self.running)
+            self._update_limit()
+
     def set_weights(self, weights: TenantWeights | None) -> None:
         """Change whether and how tenants are weighted; queued requests stay queued."""
         if weights == self.weights:
@@ -169,6 +205,7 @@
             raise OverloadError("the admission queue is closed")
         now = current_time()
         self._update_accounts(now)
+        self._advance_warmup()
         grant.arrived_at = now
         rank = grant.rank
         if rank is Rank.URGENT:
@@ -214,6 +251,7 @@
         self.running -= 1
         if completed:
             self._record_completed(grant, now)
+        self._advance_warmup()
         if self.queued:
             self._dispatch()
             self.last_checked_rank = (self.last_checked_rank + 1) % len(Rank)
@@ -230,10 +268,13 @@
             self.reserve.record(
                 latency_s, service_s, delayed, self.slots, grant.deadline_s
             )
+        running, started_at = grant.running_at_start, grant.started_at
+        if self.warmup.active:
+            sample_s = service_s if grant.samples_latency else 0.0
+            self.warmup.record(rank, sample_s, running, started_at)
         if self.settings.adaptive and grant.samples_latency:
-            running, started_at = grant.running_at_start, grant.started_at
             self.concurrency.record(rank, service_s, running, started_at, now)
-            self.limit = self.concurrency.limit
+            self._update_limit()
 
     def _update_accounts(self, now: float) -> None:
         elapsed_s = now - self.updated_at
@@ -257,7 +298,10 @@
         if not has_free_slot or queue.length:
             ahead = queue.requests_ahead(grant.tenant, grant.caller)
             wait_s = self._estimated_wait_s(rank, ahead)
-            wait_s = max(wait_s, queue.turn_wait_s(grant.tenant, grant.caller))
+            if not self.warmup.active:
+                # Turns during a warm-up are rarer than they will be.
+                turn_wait_s = queue.turn_wait_s(grant.tenant, grant.caller)
+                wait_s = max(wait_s, turn_wait_s)
             wait_s *= self.settings.wait_margin_factor
             excess_s = wait_s + service_s - grant.deadline_s
             if excess_s > 0.0:
@@ -329,6 +373,7 @@
 
     def _dispatch(self) -> None:
         """Start queued requests while slots are available to them."""
+        self._advance_warmup()
         while self.queued and self.running < self.limit:
             choice = self._choose_rank()
             if choice is None:
@@ -344,6 +389,8 @@
             if self.poller is grant:
                 self.poller = None
             self._start(grant, charged_to_floor)
+        if self.queued and self.warmup.active:
+            self._select_poller()
 
     def _choose_rank(self) -> tuple[Rank, bool] | None:
         """Return the rank that gets a free slot and whether its floor is charged."""
@@ -436,6 +483,10 @@
         now = current_time()
         self._update_accounts(now)
         if now >= grant.latest_start_at - CLOCK_RESOLUTION_S:
+            if self.warmup.active and self.running < self._limit_without_warmup():
+                self._remove_queued(grant)
+                self._start(grant, charged_to_floor=False)
+                return
             self._refuse(grant, "the deadline cannot be met", 0.0)
         self._dispatch()
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -29,7 +29,13 @@
 )
 from rosemaryward.decisions.types import LogPosition
 
-__all__ = ["Connection", "Connector", "EndpointPool", "PooledConnection"]
+__all__ = [
+    "WARMUP_CAUSES",
+    "Connection",
+    "Connector",
+    "EndpointPool",
+    "PooledConnection",
+]
 
 CONNECT_TIMEOUT_S = 0.6  # allows for one lost SYN packet between regions
 FIRST_AVOIDANCE_S = 0.5
@@ -47,6 +53,10 @@
     adaptive=False, minimum_reserve_slots=0, late_deadline_share=0.2
 )
 
+WARMUP_CAUSES = ("started", "recovered")
+# Answers by which an endpoint tells that it has too much work.
+OVERLOAD_FAILURES = frozenset({Failure.BUSY, Failure.CONNECTION_LIMIT})
+
 log = structlog.get_logger(__name__)
 
 
@@ -265,6 +275,8 @@
         answers.
     weights : callable, optional
         Weights of tenants in the admission queue, see `AdmissionQueue`.
+    warmup_counts : dict of str to int, optional
+        Counts warm-ups by cause, may be shared with other pools.
 
     Attributes
     ----------
@@ -297,6 +309,7 @@
         connection_cap: Callable[[str], int | None] | None = None,
         relayed: bool = False,
         weights: TenantWeights | None = None,
+        warmup_counts: dict[str, int] | None = None,
     ) -> None:
         self.connection_cap = connection_cap
         self.relayed = relayed
@@ -304,6 +317,10 @@
         self.connector = connector
         self.clock = clock
         self.queue = AdmissionQueue(endpoint.slots, {}, ENDPOINT_ADMISSION, weights)
+        self.queue.warmup.ended = self._log_warmup_end
+        self.warmup_counts = (
+            dict.fromkeys(WARMUP_CAUSES, 0) if warmup_counts is None else warmup_counts
+        )
         self.idle_connections: list[PooledConnection] = []
         self.open_count = 0
         self.last_answer_at = float("-inf")
@@ -338,10 +355,41 @@
         self.last_answer_at = self.clock()
         if self.failures:
             log.info("endpoint regained", endpoint=self.endpoint.id)
+            self.begin_warmup("recovered")
+        elif answer.failure in OVERLOAD_FAILURES:
+            self.queue.record_overload()
         self.failures = 0
         self.avoidance_s = 0.0
         self.avoid_until = float("-inf")
 
+    def begin_warmup(self, cause: str) -> None:
+        """Limit the work in progress at an endpoint that has started or recovered.
+
+        Parameters
+        ----------
+        cause : str
+            One of `WARMUP_CAUSES`.
+        """
+        if self.relayed:
+            return  # the relay's own pool limits the work of all proxies
+        self.queue.begin_warmup()
+        self.warmup_counts[cause] += 1
+        log.info(
+            "endpoint warm-up started",
+            endpoint=self.endpoint.id,
+            cause=cause,
+            limit=self.queue.limit,
+            slots=self.queue.slots,
+        )
+
+    def _log_warmup_end(self, duration_s: float) -> None:
+        log.info(
+            "endpoint warm-up ended",
+            endpoint=self.endpoint.id,
+            took_s=round(duration_s, 3),
+            steps_back=self.queue.warmup.steps_back,
+        )
+
     def record_failure(self, reason: str) -> None:
         """Record a failure and avoid the endpoint, twice as long as the last time."""
         if not self.failures:
@@ -467,6 +515,7 @@
                 reason=reason,
             )
         self.last_answer_at = now
+        self.queue.record_overload()
         self.connect_paused_until = now + CONNECTION_LIMIT_PAUSE_S
 
     def release(self, pooled: PooledConnection) -> None:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -1,12 +1,17 @@
 """Registered endpoints, with a connection pool for each."""
 
+import time
 from collections.abc import Callable
 
 import structlog
 
 from rosemaryward.decisions.admission import TenantWeights
 from rosemaryward.decisions.clock import boot_time_s
-from rosemaryward.decisions.gateway.connections import Connector, EndpointPool
+from rosemaryward.decisions.gateway.connections import (
+    WARMUP_CAUSES,
+    Connector,
+    EndpointPool,
+)
 from rosemaryward.decisions.gateway.environment import Endpoint
 from rosemaryward.decisions.types import Place
 
@@ -17,6 +22,10 @@
 # Idle connections count towards the connection limit that all proxies share.
 IDLE_CONNECTION_LIMIT_S = 3.0
 
+# A server whose registration first appears later than this after its start has been
+# running. The bound allows for clocks of servers and proxies that differ by seconds.
+RECENT_START_S = 10.0
+
 SAME_DOMAIN_DISTANCE = 0
 SAME_REGION_DISTANCE = 1
 OTHER_REGION_DISTANCE = 2
@@ -54,6 +63,8 @@
     connection_cap : callable, optional
         Returns how many connections to an endpoint of a group callers' statements
         may use, None for no cap.
+    unix_clock : callable, optional
+        Returns the Unix time in seconds.
 
     Attributes
     ----------
@@ -65,6 +76,10 @@
         Pools for direct connections.
     outdated_at : float
         Boot time at which registrations were last known to be out of date.
+    listed : bool
+        Whether the registrations that existed at the start of this process are known.
+    warmups : dict of str to int
+        Number of warm-ups so far by cause, of endpoints that are gone as well.
     weights : callable or None
         Weights of tenants in the admission queues, None for equal shares.
     """
@@ -74,7 +89,11 @@
         connector: Connector,
         clock: Callable[[], float] = boot_time_s,
         connection_cap: Callable[[str], int | None] | None = None,
+        unix_clock: Callable[[], float] = time.time,
     ) -> None:
+        self.unix_clock = unix_clock
+        self.listed = False
+        self.warmups = dict.fromkeys(WARMUP_CAUSES, 0)
         self.connection_cap = connection_cap
         self.connector = connector
         self.clock = clock
@@ -101,6 +120,10 @@
         """Record that registrations may have changed unseen, as in a store outage."""
         self.outdated_at = self.clock()
 
+    def mark_listed(self) -> None:
+        """Record that endpoints which appear from now on may have just started."""
+        self.listed = True
+
     def may_lack_endpoints(self) -> bool:
         """Return whether a running endpoint may not be registered yet."""
         return self.clock() < self.outdated_at + REGISTRATION_GRACE_S
@@ -133,9 +156,25 @@
                 self.clock,
                 self.connection_cap,
                 weights=self.weights,
+                warmup_counts=self.warmups,
             )
         else:
             pool.update(endpoint)
+        if self._has_started(known, endpoint):
+            self.pools[endpoint.id].begin_warmup("started")
+
+    def _has_started(self, known: Endpoint | None, endpoint: Endpoint) -> bool:
+        """Return whether a registration shows a server that has just started.
+
+        Those known when this process starts run already, and so does one that
+        appears again, or in a newer listing, with an old start time.
+        """
+        if known is not None:
+            return 0 < known.started_at < endpoint.started_at
+        if not self.listed:
+            return False
+        age_s = self.unix_clock() - endpoint.started_at / 1000.0
+        return not endpoint.started_at or age_s < RECENT_START_S
 
     def mark_unregistered(self, endpoint_id: str) -> None:
         """Record that the registration of an endpoint was removed."""
@@ -157,6 +196,10 @@
         for pool in self.pools.values():
             pool.discard_idle(IDLE_CONNECTION_LIMIT_S)
 
+    def warming_count(self) -> int:
+        """Return how many endpoints have a limit on work after a start."""
+        return sum(pool.queue.warmup.active for pool in self.pools.values())
+
     def in_group(self, group: str) -> list[Endpoint]:
         """Return the endpoints of a group."""
         return [e for e in self.endpoints.values() if e.group == group]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -414,6 +414,8 @@
                 async with pool.connection(remaining_s) as pooled:
                     return await self.execute(request, session, target, pooled)
         except OverloadError as error:
+            if pool.queue.warmup.active and not request.writes:
+                raise RetryError(f"not run: {error}") from error
             raise StatementFailedError(
                 Failure.BUSY, f"not run: {error}", pool.endpoint.id
             ) from error
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -136,6 +136,12 @@
         self.caller_connections = self._gauge(
             "caller_connections", "Open connections of callers"
         )
+        self.warmups = self._counter(
+            "endpoint_warmups_total", "Limited starts and recoveries by cause"
+        )
+        self.warming_endpoints = self._gauge(
+            "warming_endpoints", "Endpoints whose work is limited after a start"
+        )
         self.gossip_bytes = self._counter(
             "gossip_bytes_total", "Gossip bytes by direction"
         )
@@ -226,6 +232,12 @@
         for outcome, count in outcomes.items():
             self.relayed.set({"outcome": outcome}, count)
 
+    def set_warmups(self, counts: Mapping[str, int], warming: int) -> None:
+        """Set the warm-ups of endpoints so far by cause, and those in progress."""
+        for cause, count in counts.items():
+            self.warmups.set({"cause": cause}, count)
+        self.warming_endpoints.set({}, warming)
+
     def set_caller_connections(self, count: int) -> None:
         """Set the number of open caller connections."""
         self.caller_connections.set({}, count)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -441,6 +441,9 @@
         def answer() -> tuple[int, bytes]:
             self.metrics.set_caller_connections(len(self.sessions))
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
+            self.metrics.set_warmups(
+                self.directory.warmups, self.directory.warming_count()
+            )
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
@@ -575,6 +578,8 @@
             if self._may_have_lost_store():
                 self.directory.mark_outdated()
             self.directory.remove_expired()
+            if self.mirror.loaded.is_set():
+                self.directory.mark_listed()
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
                 for session in list(self.sessions):
