--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -456,6 +456,9 @@
             self.quota.export_metrics(self.metrics)
             self.metrics.set_clients("callers", self.caller_server.clients)
             self.metrics.set_clients("relays", self.relay_server.clients)
+            self.metrics.set_warmups(
+                self.directory.warmups, self.directory.warming_count()
+            )
             return STATUS_READY, self.metrics.render()[0]
 
         return HttpServer(self.settings.metrics_address, {"/metrics": answer})
@@ -538,6 +541,7 @@
         self.tenants.report_problems()
         has_tenants = environment.tenants is not None
         self.directory.set_weights(self.tenants.weight if has_tenants else None)
+        self.directory.set_pace(has_tenants)
         self.metrics.set_tenants(environment.routes)
         self.metrics.set_configuration(environment.version, 0.0)
 
@@ -593,6 +597,8 @@
                 self.directory.mark_outdated()
             self.directory.remove_expired()
             self.tenants.authorizer.observe_proof()
+            if self.mirror.loaded.is_set():
+                self.directory.mark_listed()
             if not self.leadership.is_confirmed():
                 # Callers that reconnect reach a proxy that can serve them.
                 for session in list(self.sessions):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -180,6 +180,7 @@
         )
     )
     weight_of = node.directory.weights
+    assert node.directory.paces_recovery is (tenants is not None)
     if weights is None:
         assert weight_of is None
     else:
