Fix what a review of tenants, limits and pools found

- An opening that timed out because its request had little time left made the endpoint suspect and dropped all tenants' connections; it counts like an unanswered statement now.
- A place at the cap that becomes free wakes those who wait for one.
- The own queue before a relay has the tenants' weights too.
- A transaction of a tenant needs its key until its end, also if its route becomes public.
- A database that is not known is logged as a fingerprint before the first configuration.
- A host counts the time since its registration also while no tenant has a rate.
- An allocator without a tenant's limit asks for a short pause, and gives nothing for a negative number of tokens.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -296,7 +296,6 @@
                     return await self._open(wait_s, tenant)
                 except ConnectError as error:
                     if error.failure is not Failure.CONNECTION_LIMIT:
-                        self.record_failure(error.reason)
                         raise
                     self._record_connection_limit(error.reason)
             wake_at = (
@@ -348,12 +347,22 @@
         return True
 
     async def _open(self, wait_s: float, tenant: str) -> PooledConnection:
+        started_at = self.clock()
         self.opening_count += bool(tenant)
         try:
             with anyio.fail_after(min(CONNECT_TIMEOUT_S, max(wait_s, 0.001))):
                 connection = await self.connector.connect(self.endpoint, tenant)
-        except TimeoutError:
-            raise ConnectError(Failure.BUSY, "opening a connection timed out") from None
+        except TimeoutError as error:
+            reason = "opening a connection timed out"
+            self._notify_released()
+            if not self.relayed:
+                self.record_unanswered(started_at, error, reason)
+            raise ConnectError(Failure.BUSY, reason) from None
+        except ConnectError as error:
+            self._notify_released()
+            if error.failure is not Failure.CONNECTION_LIMIT:
+                self.record_failure(error.reason)
+            raise
         finally:
             self.opening_count -= bool(tenant)
         self.open_count += 1
@@ -378,9 +387,13 @@
         if pooled.broken or self.closed:
             self.open_count -= 1
             self.connector.discard(pooled.connection)
-            return
-        pooled.idle_since = self.clock()
-        self.idle_connections.append(pooled)
+        else:
+            pooled.idle_since = self.clock()
+            self.idle_connections.append(pooled)
+        self._notify_released()
+
+    def _notify_released(self) -> None:
+        """Wake those who wait for a connection, or for a place to open one."""
         self.connection_released.set()
         self.connection_released = anyio.Event()
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/session.py
@@ -296,7 +296,9 @@
             If the caller may not run it now.
         """
         present = self.environment().routes.get(self.database) or route
-        tenant = self.operations.authorize(present.public)
+        # A transaction goes on for its tenant, so it needs the key until its end.
+        has_tenant = self.transaction is not None and bool(self.context.tenant)
+        tenant = self.operations.authorize(present.public and not has_tenant)
         if self.transaction is None and self.operations.begins(statement):
             await self.operations.begin(tenant)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_tenant_pools.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_tenant_pools.py
@@ -167,3 +167,39 @@
     clock.now += idle_s
     directory.remove_expired()
     assert [pooled.tenant for pooled in pool.idle_connections] == kept
+
+
+@pytest.mark.parametrize(
+    ("wait_s", "suspect"),
+    [
+        pytest.param(0.01, False, id="little-time-left"),
+        pytest.param(0.6, True, id="silent-endpoint"),
+    ],
+)
+async def test_opening_that_times_out(wait_s, suspect):
+    """Guards against avoiding an endpoint because a request had little time left."""
+    harness = PoolHarness()
+
+    async def connect(endpoint, tenant=""):
+        harness.clock.now += wait_s
+        raise TimeoutError
+
+    harness.connector.connect = connect
+    with pytest.raises(ConnectError):
+        await harness.pool.acquire(wait_s, tenant="a")
+    assert harness.pool.suspect is suspect
+
+
+async def test_place_that_becomes_free_is_used_at_once():
+    """Guards against refusals for want of a connection that nobody holds any more."""
+    harness = PoolHarness(cap=1)
+    held = await harness.pool.acquire(0.1, tenant="a")
+
+    async def break_connection():
+        held.broken = True
+        harness.pool.release(held)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(break_connection)
+        async with harness.pool.connection(0.1, tenant="b") as pooled:
+            assert pooled.tenant == "b"
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_tenant_sessions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_tenant_sessions.py
@@ -394,3 +394,16 @@
     replies = await harness.serve_steps("BEGIN", harness.cut, "READ k", "COMMIT")
     assert [r.failure for r in replies] == [None] + [Failure.ROLLED_BACK] * 2
     assert limiter.refunded == ["acme"]
+
+
+async def test_key_removed_as_its_route_becomes_public_ends_the_transaction():
+    """Guards against statements for a tenant whose key was taken away."""
+    harness = TenantHarness()
+    replies = await harness.serve_steps(
+        "BEGIN",
+        "WRITE a 1",
+        lambda: harness.set_tenants({"other": "key-2"}, public=True),
+        "WRITE b 1",
+    )
+    failures = [reply.failure for reply in replies]
+    assert failures == [None, None, Failure.UNKNOWN_KEY]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/allocator.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/allocator.py
@@ -5,7 +5,7 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
-from rosemaryward.decisions.quota.bucket import MAX_RETRY_S, TokenBucket
+from rosemaryward.decisions.quota.bucket import MAX_RETRY_S, MIN_RETRY_S, TokenBucket
 from rosemaryward.decisions.quota.limits import QuotaBounds, TenantRate
 from rosemaryward.decisions.quota.messages import (
     DonationReply,
@@ -103,8 +103,10 @@
         now = self._advance()
         self.counts["requests"] += 1
         rate = self.limits().get(request.tenant)
-        if rate is None or self.leaving:
+        if self.leaving:
             return LendReply(0, MAX_RETRY_S)
+        if rate is None:  # this host may not have the newest configuration yet
+            return LendReply(0, MIN_RETRY_S)
         bucket = self._bucket(request.tenant)
         bucket.settle(rate, self.shares, self.bounds)
         taken = bucket.take(request.tokens)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/bucket.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/bucket.py
@@ -55,7 +55,7 @@
 
     def take(self, tokens: int) -> int:
         """Remove whole tokens and return how many, at most as many as asked for."""
-        taken = min(int(self.level + ROUNDING), tokens)
+        taken = min(int(self.level + ROUNDING), max(tokens, 0))
         self.level -= taken
         return taken
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -336,4 +336,5 @@
             self.relayed[endpoint_id] = relayed
         elif relayed.endpoint != direct.endpoint:
             relayed.update(direct.endpoint)
+        relayed.queue.set_weights(self.directory.weights)
         return relayed
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_tenant_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_tenant_relays.py
@@ -163,3 +163,13 @@
     )
     assert selector.connections_are_scarce("g") is scarce
     assert (selector.connection_cap("g") is not None) is scarce
+
+
+async def test_own_queue_before_a_relay_has_the_weights_of_tenants():
+    """Guards against equal shares where all callers of a tenant are at one host."""
+    harness = RelayedTenantHarness(tenants={"acme": KEY})
+    weights = {"acme": 7.0}.get
+    harness.directory.set_weights(weights)
+    pool = harness.pools.pool("i-1")
+    assert pool.relayed
+    assert pool.queue.weights is weights
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/tenants/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/tenants/directory.py
@@ -141,9 +141,12 @@
 
 def _unite(one: Tenant, other: Tenant) -> Tenant:
     """Return a tenant that is listed twice, with the lower limits."""
-    rates = [t.rate_per_s for t in (one, other) if t.rate_per_s is not None]
+    limited = [tenant for tenant in (one, other) if tenant.rate_per_s is not None]
     return Tenant(
         name=one.name,
-        rate_per_s=min(rates, default=None),
-        burst=min(one.burst, other.burst),
+        rate_per_s=min(
+            (tenant.rate_per_s for tenant in limited if tenant.rate_per_s is not None),
+            default=None,
+        ),
+        burst=min((tenant.burst for tenant in limited), default=0.0),
     )
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_quota.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_quota.py
@@ -6,6 +6,7 @@
 import anyio
 import structlog
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
 from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
@@ -197,7 +198,9 @@
         if self.share.was_registered is None:
             self.share.observe_start()
         # The configuration is replaced as a whole and has no event of its own.
-        while not self.limits():  # noqa: ASYNC110
+        while not self.limits():
+            # The share counts the time since the registration of this process.
+            self.share.fraction(boot_time_s())
             await anyio.sleep(START_CHECK_INTERVAL_S)
         log.info(
             "tenant rate limits in force",
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
@@ -100,9 +100,11 @@
     def loggable_database(self, database: str) -> str:
         """Return what to log for a database that has no route.
 
-        With tenants it may be a key, sent by a caller that mixes up the words.
+        With tenants, and while no configuration tells whether there are any, it may be
+        a key that was sent in the place of the database.
         """
-        if self.environment().tenants is None:
+        environment = self.environment()
+        if environment.version and environment.tenants is None:
             return database
         return CallerKey(database.encode(ENCODING)).fingerprint
 
