--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/operations.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/operations.py
@@ -21,21 +21,8 @@
 }
 
 
-class OperationRefusedError(Exception):
-    """The caller may not run a statement now.
-
-    Parameters
-    ----------
-    cause : RefusalCause
-        Why it may not.
-    reason : str
-        Details for the caller.
-    """
-
-    def __init__(self, cause: RefusalCause, reason: str) -> None:
-        super().__init__(reason)
-        self.cause = cause
-        self.reason = reason
+class OperationRefusedError(AuthorizationError):
+    """The caller may not run a statement now, and how its session reports that."""
 
     @property
     def failure(self) -> Failure:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/account.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/account.py
@@ -122,7 +122,7 @@
         )
 
     def shortage(self, now: float) -> int:
-        """Return how many tokens to ask for, at least 1.
+        """Return how many tokens to ask for, none if it is not positive.
 
         Tokens that the demand does not use before they expire are lost to the other
         hosts, so fewer are asked for when they are scarce.
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_quota.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_quota.py
@@ -90,7 +90,7 @@
         raise PeerError(f"{member.name}: unexpected reply {type(reply).__name__}")
 
 
-class _LostAllocators:
+class _AllocatorAvoidance:
     """Reports lost connections; implements `RelayAvoidance`.
 
     The connections for quota messages are separate from those for statements, so
@@ -153,7 +153,7 @@
         self.mirror = mirror
         self.environment = environment
         self.rates: Mapping[str, TenantRate] = {}
-        self.rates_of: Environment | None = None
+        self.rates_environment: Environment | None = None
         bounds = QuotaBounds(
             settings.bounds.quota_window_s,
             settings.bounds.quota_overage,
@@ -173,7 +173,7 @@
             first_start=settings.first_start,
         )
         self.client = RelayClient(
-            record.name, _LostAllocators(members, self._handle_loss)
+            record.name, _AllocatorAvoidance(members, self._handle_loss)
         )
         channel = RelayQuotaChannel(self.client)
         self.donor = ShareDonor(
@@ -187,9 +187,9 @@
     def limits(self) -> Mapping[str, TenantRate]:
         """Return the rate limits in force by tenant."""
         environment = self.environment()
-        if environment is not self.rates_of:
+        if environment is not self.rates_environment:
             self.rates = tenant_rates(environment)
-            self.rates_of = environment
+            self.rates_environment = environment
         return self.rates
 
     async def run(self) -> None:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_tenants.py
@@ -109,7 +109,7 @@
         return CallerKey(database.encode(ENCODING)).fingerprint
 
     def log_refusal(self, key: CallerKey, tenant: str, cause: RefusalCause) -> None:
-        """Log a refusal for the sake of its key; the limiter logs its own."""
+        """Log a refusal caused by the key or the proof; the limiter logs its own."""
         if cause is RefusalCause.RATE_LIMIT:
             return
         left_out = self.refusal_budget.take()
