Admit proxies and pools of callers that connect at once

Only a quarter of the connections could be in start-up, also at the addresses for other proxies: of 300 proxies that meet a new relay at once, those above the limit were closed. Other proxies now have no such limit. Of 400 callers that connected at once and sent their start-up messages 0.1 s later, 96 were closed in a trial over loopback.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
@@ -23,6 +23,8 @@
 CONTROL_DESCRIPTOR_SHARE = 0.1
 """The rest is for outgoing connections and the other addresses."""
 STARTING_SHARE = 1 / 4
+"""Of the callers. Other proxies have no such limit, as all of them connect at once to
+a relay that has just been elected."""
 ENDING_SHARE = 1 / 8
 INTERNAL_CONNECTIONS = 32
 INTERNAL_REQUEST_S = 15.0
@@ -98,7 +100,7 @@
     common = int(memory * COMMON_MEMORY_SHARE)
     control = int(available * CONTROL_DESCRIPTOR_SHARE)
     return ProcessLimits(
-        callers=_client_limits(callers, common),
+        callers=_client_limits(callers, common, STARTING_SHARE),
         peers=_client_limits(peers, common // 2),
         control=_client_limits(control, common // 4),
         internal=ClientLimits(
@@ -111,11 +113,13 @@
     )
 
 
-def _client_limits(connections: int, memory_bytes: int) -> ClientLimits:
+def _client_limits(
+    connections: int, memory_bytes: int, starting_share: float = 1.0
+) -> ClientLimits:
     connections = max(connections, MIN_CONNECTIONS)
     return ClientLimits(
         connections=connections,
-        starting=max(int(connections * STARTING_SHARE), MIN_CONNECTIONS // 2),
+        starting=max(int(connections * starting_share), MIN_CONNECTIONS // 2),
         ending=max(int(connections * ENDING_SHARE), 1),
         memory_bytes=memory_bytes,
     )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Client", "ClientState", "ClientTable"]
 
+STARTING_GRACE_S = 0.5
+"""Within it, a start-up message that has not arrived is no sign of a silent client. Of
+400 callers that connect at once and send theirs 0.1 s later, 96 were closed."""
 CLOSE_REASON = "too many connections or too much memory in use"
 
 
@@ -190,9 +193,14 @@
         self.counts[cause] = self.counts.get(cause, 0) + 1
 
     def _bound_starting(self) -> None:
+        """Close the oldest start-up at the limit, a recent one only to make room."""
         starting = self._in_state(ClientState.STARTING)
-        if len(starting) >= self.limits.starting:
-            self._abort(_oldest(starting), "starting_closed")
+        if len(starting) < self.limits.starting:
+            return
+        oldest = _oldest(starting)
+        is_full = len(self.clients) >= self.limits.connections
+        if is_full or self.clock() - oldest.since_s >= STARTING_GRACE_S:
+            self._abort(oldest, "starting_closed")
 
     def _end_one(self) -> None:
         """Ask the client that has been idle for longest to disconnect."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/tests/test_table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/tests/test_table.py
@@ -63,6 +63,15 @@
     assert held + buffers < memory_mib * MIB * 0.7
 
 
+@pytest.mark.parametrize("address", ["peers", "control"])
+def test_proxies_that_connect_at_once_are_all_admitted(address, clock):
+    """Guards against closing proxies that meet a newly elected relay at once."""
+    limits = getattr(derive_limits(memory_mib=200, descriptors=4300), address)
+    table = ClientTable(limits, lambda: clock[0])
+    connections = [Connection(table) for _ in range(300)]
+    assert not any(connection.calls for connection in connections)
+
+
 def test_oldest_start_up_is_closed_for_a_new_one(table, clock):
     """Guards against silent connections that keep callers from starting."""
     first, second = connect(table, clock, None, None)
@@ -72,6 +81,20 @@
     assert table.counts == {"starting_closed": 1}
 
 
+def test_recent_start_ups_are_closed_only_to_make_room(table, clock):
+    """Guards against resetting a pool of callers whose start-up messages are sent.
+
+    It also guards against a silent crowd that ends sessions.
+    """
+    idle, *recent = [
+        Connection(table, state) for state in (ClientState.IDLE, None, None, None)
+    ]
+    assert not any(connection.calls for connection in recent)
+    assert Connection(table).client is not None
+    assert [c.calls for c in (idle, *recent)] == [[], ["abort"], [], []]
+    assert idle.client.state is ClientState.IDLE
+
+
 def test_longest_idle_connection_is_asked_to_end(table, clock):
     """Guards against closing a connection whose request is outstanding."""
     states = [ClientState.SERVING, *[ClientState.IDLE] * 3]
