Refuse single requests of a proxy instead of closing its connection

Above the memory bound, the whole multiplexed connection of another proxy was closed, so all statements on it got an unknown outcome. One long result was enough, as queued replies counted as well, and requests in progress did not count at all.

A request now counts from its decoding until its reply is written. One that does not fit is answered as not run (`Refused` with BUSY, `NotRun` with the reason overload), and an incomplete message that is dropped is answered the same way while the rest of its fragments are skipped. Requests that end a transaction are never refused, and short ones use a part that belongs to the connection. A connection is `SENDING` while a batch is written, so a peer that takes no bytes for `answer_s` is closed. While more is queued than the bound, one chunk is read for each written batch.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
@@ -104,6 +104,14 @@
         self.kept_bytes = kept
         return True
 
+    def force_keep(self, size: int) -> None:
+        """Set the bytes that the connection holds already between two messages."""
+        kept = max(size - ALLOWANCE_BYTES, 0)
+        if self in self.table.clients:
+            self.table.held_bytes += kept - self.kept_bytes
+            self.held_bytes += kept - self.kept_bytes
+            self.kept_bytes = kept
+
 
 class ClientTable:
     """All connections of the clients of one address.
@@ -113,6 +121,9 @@
     limits : ClientLimits
     clock : callable
         Returns the time in seconds.
+    closes_holders : bool
+        Whether connections are closed for the memory that they hold. Otherwise only
+        incomplete messages are dropped.
 
     Attributes
     ----------
@@ -124,7 +135,13 @@
         Number of refusals and closes by cause.
     """
 
-    def __init__(self, limits: ClientLimits, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limits: ClientLimits,
+        clock: Callable[[], float],
+        closes_holders: bool = True,
+    ) -> None:
+        self.closes_holders = closes_holders
         self.limits = limits
         self.clock = clock
         self.clients: dict[Client, None] = {}
@@ -248,6 +265,8 @@
             self.hold(oldest, oldest.kept_bytes)
             self.count("message_dropped")
             return True
+        if not self.closes_holders:
+            return False
         blocked = [x for x in self._holders(ClientState.SENDING) if x is not client]
         if blocked:
             self._abort(_oldest(blocked), "answer_dropped")
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from rosemaryward.decisions.clients import ALLOWANCE_BYTES
 from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.links import decompress
@@ -100,14 +101,43 @@
     ----------
     incomplete : dict of int to bytearray
         Fragments received so far of messages with more to come, by request id.
+    discarded : set of int
+        Request ids of messages whose further fragments are skipped.
+    skip_bytes : int
+        Bytes of the present frame that are skipped when they arrive.
     """
 
-    __slots__ = ("buffer", "incomplete", "max_message_bytes")
+    __slots__ = (
+        "buffer",
+        "discarded",
+        "incomplete",
+        "max_message_bytes",
+        "skip_bytes",
+    )
 
     def __init__(self, max_message_bytes: int = MAX_MESSAGE_BYTES) -> None:
         self.max_message_bytes = max_message_bytes
         self.buffer = bytearray()
         self.incomplete: dict[int, bytearray] = {}
+        self.discarded: set[int] = set()
+        self.skip_bytes = 0
+
+    def discard_incomplete(self) -> set[int]:
+        """Drop the incomplete long messages and return their request ids.
+
+        A message in a frame of at most `ALLOWANCE_BYTES` is kept: it may end a
+        transaction, and releases no counted memory.
+        """
+        dropped = set(self.incomplete)
+        if len(self.buffer) >= _HEADER.size:
+            length, request_id, _ = _HEADER.unpack_from(self.buffer)
+            if length > ALLOWANCE_BYTES:
+                dropped.add(request_id)
+        self.incomplete.clear()
+        self.discarded |= dropped
+        for _ in self.feed(b""):  # skips the frame that is received in part
+            raise AssertionError("a complete message was not taken")
+        return dropped
 
     def held_bytes(self) -> int:
         """Return the bytes of incomplete frames and messages."""
@@ -123,13 +153,18 @@
         PeerError
             If a frame is malformed or a message is too long.
         """
+        skipped = min(self.skip_bytes, len(data))
+        self.skip_bytes -= skipped
         buffer = self.buffer
-        buffer += data
+        buffer += memoryview(data)[skipped:]
         offset = 0
         while len(buffer) - offset >= _HEADER.size:
             length, request_id, flags = _HEADER.unpack_from(buffer, offset)
             self._check_frame_length(length)
             end = offset + _LENGTH_BYTES + length
+            if request_id in self.discarded:
+                offset = self._skip_frame(request_id, flags, end)
+                continue
             if end > len(buffer):
                 break
             fragment = bytes(buffer[offset + _HEADER.size : end])
@@ -139,6 +174,14 @@
                 yield request_id, self._decompress(message, flags)
         del buffer[:offset]
 
+    def _skip_frame(self, request_id: int, flags: int, end: int) -> int:
+        """Skip a frame of a dropped message; returns where the next one begins."""
+        received = min(end, len(self.buffer))
+        self.skip_bytes = end - received
+        if not flags & _MORE_FLAG:
+            self.discarded.remove(request_id)
+        return received
+
     def _decompress(self, message: bytes, flags: int) -> bytes:
         if not flags & _COMPRESSED_FLAG:
             return message
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -22,24 +22,30 @@
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import OutcomeUnknownError, PeerError
+from rosemaryward.decisions.gateway.outcomes import Failure
 from rosemaryward.decisions.leadership.members import MemberRecord
 from rosemaryward.decisions.links import LinkPurpose
 from rosemaryward.decisions.relays.messages import (
+    BeginRequest,
+    LeasedRequest,
     Leaving,
     Ping,
     Pong,
+    Refused,
     RelayReply,
     RelayRequest,
+    RunRequest,
     Unanswered,
 )
 from rosemaryward.decisions.relays.service import RelayService, RelaySession
 from rosemaryward.decisions.types import Rank
 from rosemaryward.peers.clients import (
+    BUSY_REASON,
     DEFAULT_LIMITS,
+    ConnectionMemory,
     FailureLog,
     admitted,
     bound_receive_buffers,
-    count_memory,
 )
 from rosemaryward.peers.frames import FrameReader
 from rosemaryward.peers.multiplex import RECEIVE_BYTES, MultiplexedConnection
@@ -55,6 +61,8 @@
 PROBE_INTERVAL_S = 1.0  # shorter than the selector avoids a relay after one failure
 UNSOLICITED_REQUEST_ID = 0
 MAX_NAME_BYTES = 1024
+STATEMENT_REQUESTS = (BeginRequest, LeasedRequest, RunRequest)
+"""The others release what a transaction holds, or share a limit."""
 
 log = structlog.get_logger(__name__)
 
@@ -269,7 +277,7 @@
         limits: ClientLimits = DEFAULT_LIMITS.peers,
     ) -> None:
         self.address = address
-        self.clients = ClientTable(limits, boot_time_s)
+        self.clients = ClientTable(limits, boot_time_s, closes_holders=False)
         self.failures = FailureLog()
         self.service = service
         self.send_queues: set[SendQueue] = set()
@@ -343,19 +351,27 @@
         """
         assert self.task_group is not None
         reader = FrameReader()
+
+        def refuse(request_id: int) -> None:
+            refusal = Refused(Failure.BUSY, BUSY_REASON)
+            send_queue.put(request_id, _encoder.encode(refusal), Rank.URGENT)
+
+        memory = ConnectionMemory(client, reader, send_queue, refuse)
         while True:
             for request_id, payload in reader.feed(data):
-                try:
-                    request = decode_with(_request_decoder.decode, payload)
-                except msgspec.DecodeError as error:
-                    raise PeerError(f"malformed request: {error}") from error
+                request = _decode_request(payload)
                 if isinstance(request, Ping):
                     send_queue.put(request_id, _encoder.encode(Pong()), Rank.URGENT)
-                else:
-                    self.task_group.start_soon(
-                        self._answer, session, request_id, request, send_queue
-                    )
-            count_memory(client, reader, send_queue)
+                    continue
+                can_be_refused = isinstance(request, STATEMENT_REQUESTS)
+                end_request = memory.begin_request(len(payload), can_be_refused)
+                if end_request is None:
+                    refuse(request_id)
+                    continue
+                self.task_group.start_soon(
+                    self._answer, session, request_id, request, send_queue, end_request
+                )
+            await memory.count_received()
             data = await stream.receive(RECEIVE_BYTES)
 
     async def _answer(
@@ -364,6 +380,7 @@
         request_id: int,
         request: RelayRequest,
         send_queue: SendQueue,
+        end_request: Callable[[], None],
     ) -> None:
         try:
             reply = await session.handle(request)
@@ -372,6 +389,14 @@
             reply = Unanswered(f"{type(error).__name__}: {error}")
         if reply is not None:
             send_queue.put(request_id, _encoder.encode(reply), _rank_of(request))
+        end_request()
+
+
+def _decode_request(payload: bytes) -> RelayRequest:
+    try:
+        return decode_with(_request_decoder.decode, payload)
+    except msgspec.DecodeError as error:
+        raise PeerError(f"malformed request: {error}") from error
 
 
 async def _receive_name(stream: SocketStream) -> tuple[str, bytes]:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/send_queue.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/send_queue.py
@@ -1,7 +1,7 @@
 """Priority queue of outgoing frames of one connection."""
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import anyio
 from anyio.abc import ByteStream
@@ -34,10 +34,21 @@
     Attributes
     ----------
     queued_bytes : int
-        Bytes of the messages that are not sent yet.
+        Bytes of the messages that are not written yet.
+    on_sending, on_written : callable
+        Called before and after a batch is written.
     """
 
-    __slots__ = ("link", "purpose", "queued_bytes", "queues", "stream", "wakeup")
+    __slots__ = (
+        "link",
+        "on_sending",
+        "on_written",
+        "purpose",
+        "queued_bytes",
+        "queues",
+        "stream",
+        "wakeup",
+    )
 
     def __init__(
         self,
@@ -50,6 +61,8 @@
         self.link = link
         self.queues: dict[Rank, deque[Iterator[bytes]]] = {r: deque() for r in Rank}
         self.queued_bytes = 0
+        self.on_sending: Callable[[], None] = lambda: None
+        self.on_written: Callable[[], None] = lambda: None
         self.wakeup = anyio.Event()
 
     def put(self, request_id: int, payload: bytes, rank: Rank) -> None:
@@ -68,17 +81,20 @@
     async def run(self) -> None:
         """Write queued frames until cancelled or the stream breaks."""
         while True:
-            rank, batch = self._next_batch()
+            rank, batch, size = self._next_batch()
             if not batch:
                 self.wakeup = anyio.Event()
                 await self.wakeup.wait()
                 continue
             if self.link is not None:
                 await self.link.acquire(len(batch), rank, self.purpose)
+            self.on_sending()
             await self.stream.send(batch)
+            self.queued_bytes -= size
+            self.on_written()
 
-    def _next_batch(self) -> tuple[Rank, bytes]:
-        """Return the next frames of the most urgent rank with queued messages.
+    def _next_batch(self) -> tuple[Rank, bytes, int]:
+        """Return the next frames of the most urgent rank, and their message bytes.
 
         Messages of one rank are served round-robin, one frame at a time, so that a
         long message does not delay short ones.
@@ -93,8 +109,7 @@
                 if frame is not None:
                     frames.append(frame)
                     size += len(frame)
-                    self.queued_bytes -= len(frame) - HEADER_BYTES
                     queue.append(message)
             if frames:
-                return rank, b"".join(frames)
-        return Rank.BULK, b""
+                return rank, b"".join(frames), size - HEADER_BYTES * len(frames)
+        return Rank.BULK, b"", 0
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -28,16 +28,19 @@
 from rosemaryward.decisions.messages import (
     Execute,
     Member,
+    NotRun,
     OutcomeUnknown,
     StatementReply,
     StatementRequest,
 )
+from rosemaryward.decisions.routing.replies import REASON_OVERLOAD
 from rosemaryward.decisions.types import Rank
 from rosemaryward.peers.clients import (
+    BUSY_REASON,
     DEFAULT_LIMITS,
+    ConnectionMemory,
     admitted,
     bound_receive_buffers,
-    count_memory,
 )
 from rosemaryward.peers.frames import (
     FrameReader,
@@ -212,7 +215,7 @@
         *,
         limits: ClientLimits = DEFAULT_LIMITS.peers,
     ) -> None:
-        self.clients = ClientTable(limits, boot_time_s)
+        self.clients = ClientTable(limits, boot_time_s, closes_holders=False)
         self.host = host
         self.port = port
         self.handler = handler
@@ -307,14 +310,25 @@
         """
         assert self.task_group is not None
         reader = FrameReader()
+
+        def refuse(request_id: int) -> None:
+            refusal = NotRun(REASON_OVERLOAD, BUSY_REASON)
+            send_queue.put(request_id, encode_message(refusal), Rank.URGENT)
+
+        memory = ConnectionMemory(client, reader, send_queue, refuse)
         data = rest
         while True:
             for request_id, payload in reader.feed(data):
                 message = decode_request(payload)
+                can_be_refused = isinstance(message, Execute)
+                end_request = memory.begin_request(len(payload), can_be_refused)
+                if end_request is None:
+                    refuse(request_id)
+                    continue
                 self.task_group.start_soon(
-                    self._answer, sender, request_id, message, send_queue
+                    self._answer, sender, request_id, message, send_queue, end_request
                 )
-            count_memory(client, reader, send_queue)
+            await memory.count_received()
             data = await stream.receive(RECEIVE_BYTES)
             if send_queue.link is not None:
                 send_queue.link.count_received(len(data), None, LinkPurpose.STATEMENT)
@@ -325,12 +339,14 @@
         request_id: int,
         message: StatementRequest,
         send_queue: SendQueue,
+        end_request: Callable[[], None],
     ) -> None:
         try:
             reply = await self.handler(sender, message)
         except Exception as error:  # one failed request must not stop the server
             reply = OutcomeUnknown(f"{type(error).__name__}: {error}")
         send_queue.put(request_id, encode_message(reply), _rank_of(message))
+        end_request()
 
 
 async def _read_hello(stream: ByteReceiveStream) -> tuple[str, bytes]:
