Close a MySQL connection whose dropped message cannot be refused

A long message without memory was replaced by an unknown command, which is answered by an error. COM_STMT_SEND_LONG_DATA and COM_STMT_CLOSE have no reply, so a client took the error for the reply to its next statement. If a later packet of a message was dropped, the earlier ones were passed on as a command. The connection is now closed in both cases. The test fails in all three cases without the change.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/reader.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/reader.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 import anyio
+from mysql_mimic import types
 
 from rosemaryward.decisions.clients import ALLOWANCE_BYTES, Client, ClientState
 
@@ -20,6 +21,10 @@
 """Copies of a long statement while it is served: as packet, text and fingerprint."""
 REFUSED_COMMAND = b"\xff"
 """Unknown command, which `CallerConnection` answers with the refusal."""
+COMMANDS_WITHOUT_REPLY = frozenset(
+    (types.Commands.COM_STMT_SEND_LONG_DATA, types.Commands.COM_STMT_CLOSE)
+)
+"""The caller would take a refusal for the reply to its next command."""
 WAITING_STATES = (ClientState.IDLE, ClientState.IN_TRANSACTION)
 
 
@@ -111,6 +116,7 @@
         size = self.taken_bytes
         if size > ALLOWANCE_BYTES and not client.hold(COPIES_IN_SERVICE * size):
             client.hold(0)
+            self._check_refusable(data, n)
             self.is_refused = True
             return REFUSED_COMMAND
         if size > ALLOWANCE_BYTES:
@@ -135,6 +141,15 @@
         if self._buffer:
             client.enter(ClientState.RECEIVING)
 
+    def _check_refusable(self, data: bytes, size: int) -> None:
+        """Raise `ConnectionError` if a dropped message cannot be answered.
+
+        The stream has taken the earlier packets of a message already, and would pass
+        them on as a command without its end.
+        """
+        if self.taken_bytes > size or data[0] in COMMANDS_WITHOUT_REPLY:
+            raise ConnectionAbortedError("a message without a refusal was dropped")
+
     def _check_length(self, length: int) -> None:
         """Raise `ConnectionError` if the message is too long."""
         self._continues = length == LONGEST_PACKET
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/tests/test_reader.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/tests/test_reader.py
@@ -104,6 +104,28 @@
     assert await stream.read() == b"\3SELECT 1"
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(packet(b"\x18" + bytes(30_000)), id="long-data"),
+        pytest.param(packet(b"\x19" + bytes(30_000)), id="close-statement"),
+        pytest.param(
+            packet(b"\3" + bytes(0xFFFFFE)) + packet(b"x" * 30_000, 1), id="last-part"
+        ),
+    ],
+)
+async def test_dropped_message_without_a_refusal_closes_the_connection(data):
+    """Guards against an error taken for the reply to another statement.
+
+    It also guards against a statement that runs without its end.
+    """
+    reader = create_reader(memory_bytes=20_000_000 if len(data) > 1 << 20 else 40_000)
+    stream = MysqlStream(reader, None)
+    reader.feed_data(data + packet(b"\3SELECT 1"))
+    with pytest.raises(ConnectionError):
+        await stream.read()
+
+
 async def test_message_of_several_packets_is_bounded():
     """Guards against a message that is continued without end."""
     reader = create_reader(memory_bytes=1 << 30)
