Correct the pace after refusals and the smallest share of a tenant

A refusal in a warm-up set the pause and the step from the time at which the old step began, and each of several refusals of one step halved the limit. The time is now passed, and the step after a halved limit ignores refusals. The dispatch refused a late request that only the warm-up had held back, although the task that waits for it would start it; both use the same check now.

The smallest share referred to a sum that contained raised weights, so tenants of weight 0 raised one another. It refers to the weights as configured and is at most half of an equal share. A queued tenant's weight still changes with its next request only.

The state machine of the weighted queue records an overload inside the event loop now, as the time is needed, and also checks the new sum.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/queue.py
@@ -174,7 +174,7 @@
 
     def record_overload(self) -> None:
         """Halve the limit of a warm-up after the endpoint refused work as busy."""
-        self.warmup.record_overload()
+        self.warmup.record_overload(current_time())
         self._update_limit()
 
     def _update_limit(self) -> None:
@@ -183,6 +183,10 @@
         if self.warmup.active:
             self.limit = min(self.limit, self.warmup.limit)
 
+    def _may_start_late(self) -> bool:
+        """Return whether only a warm-up holds back a request that is late."""
+        return self.warmup.active and self.running < self._limit_without_warmup()
+
     def _limit_without_warmup(self) -> int:
         return self.concurrency.limit if self.settings.adaptive else self.slots
 
@@ -391,7 +395,8 @@
                 return
             rank, charged_to_floor = choice
             queue = self.rank_queues[rank]
-            if queue.peek().latest_start_at < self.updated_at:
+            is_late = queue.peek().latest_start_at < self.updated_at
+            if is_late and not self._may_start_late():
                 self._refuse(queue.peek(), "the deadline cannot be met", 0.0)
                 continue
             grant = queue.pop(self.updated_at)
@@ -493,7 +498,7 @@
         now = current_time()
         self._update_accounts(now)
         if now >= grant.latest_start_at - CLOCK_RESOLUTION_S:
-            if self.warmup.active and self.running < self._limit_without_warmup():
+            if self._may_start_late():
                 self._remove_queued(grant)
                 self._start(grant, charged_to_floor=False)
                 return
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_fair_shares.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_fair_shares.py
@@ -7,6 +7,7 @@
 from anyio import current_time
 
 from rosemaryward.decisions.admission import AdmissionQueue, AdmissionSettings
+from rosemaryward.decisions.admission.grant import SlotGrant
 from rosemaryward.decisions.admission.returns import ReturnSchedule
 from rosemaryward.decisions.admission.sections import RankSection
 from rosemaryward.decisions.admission.tests.load import (
@@ -15,6 +16,7 @@
     TenantLoad,
     percentile,
 )
+from rosemaryward.decisions.admission.weighted_queue import WeightedRankQueue
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.types import Rank
 
@@ -104,6 +106,20 @@
     assert len(load.latencies["small"]) >= 5
 
 
+@pytest.mark.parametrize("small_tenants", [5, 100, 1000])
+async def test_tenants_of_weight_0_take_no_more_than_their_part(small_tenants) -> None:
+    """Guards against many tenants without a rate that raise one another's weight."""
+    queue = WeightedRankQueue(lambda tenant: 100.0 if tenant == "big" else 0.0)
+    owner = make_queue()
+    for tenant in ("big", *map(str, range(small_tenants))):
+        queue.push(SlotGrant(owner, Rank.NORMAL, "caller", tenant, DEADLINE_S))
+    largest = 100.0 * min(0.005, 0.5 / small_tenants)
+    assert queue.weight_of("new") <= largest
+    for _ in range(small_tenants):
+        queue.pop(0.0)
+    assert queue.weight_of("new") <= 0.5
+
+
 async def test_tenants_without_known_weights_have_equal_shares() -> None:
     """Guards against tenants that lose their share as their weight is not known."""
     load = TenantLoad(AdmissionQueue(2, {}, SETTINGS, lambda tenant: None))
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_weighted_queue_machine.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/tests/test_weighted_queue_machine.py
@@ -66,9 +66,12 @@
 
     @rule(overloaded=st.booleans())
     def begin_warmup(self, overloaded: bool) -> None:
-        self.queue.begin_warmup()
-        if overloaded:
-            self.queue.record_overload()
+        async def begin() -> None:
+            self.queue.begin_warmup()
+            if overloaded:
+                self.queue.record_overload()
+
+        self.loop.run_until_complete(begin())
 
     @invariant()
     def sums_match(self) -> None:
@@ -80,6 +83,8 @@
             assert queue.in_burst == sum(backlog.in_burst for backlog in backlogs)
             weight = sum(backlog.weight for backlog in backlogs)
             assert abs(queue.weight_sum - weight) <= 1e-6 * (1.0 + weight)
+            own_weight = sum(backlog.own_weight for backlog in backlogs)
+            assert abs(queue.own_weight_sum - own_weight) <= 1e-6 * (1.0 + own_weight)
             assert all(0 <= b.in_burst <= b.length for b in backlogs)
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/warmup.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/warmup.py
@@ -56,6 +56,8 @@
         Whether the limit applies.
     limit : int
         Statements that may run at once.
+    is_halved : bool
+        Whether the present step began with a halved limit.
     steps_back : int
         Raised limits of this warm-up that brought no throughput.
     ended : callable or None
@@ -78,6 +80,7 @@
         "hold_s",
         "hold_until",
         "increment",
+        "is_halved",
         "limit",
         "settled",
         "settled_limit",
@@ -137,17 +140,27 @@
         if service_s and running >= self.limit:
             self.times.add(rank, service_s)
 
-    def record_overload(self) -> None:
-        """Halve the limit after the endpoint refused work because it is busy."""
-        if not self.active:
+    def record_overload(self, now: float) -> None:
+        """Halve the limit after the endpoint refused work because it is busy.
+
+        Further refusals in the step that begins here are ignored, because they are
+        answers to work that was sent at the limit before.
+
+        Parameters
+        ----------
+        now : float
+            Event-loop time in seconds.
+        """
+        if not self.active or self.is_halved:
             return
         self.settled_limit = max(INITIAL_LIMIT, self.limit // 2)
         self.settled = None
         self.increment = 1
         self.steps_back += 1
         self.limit = self.settled_limit
-        self.hold_until = self.step_started_at + self.hold_s
-        self._restart_step(self.step_started_at)
+        self.hold_until = now + self.hold_s
+        self._restart_step(now)
+        self.is_halved = True
 
     def advance(self, now: float, running: int) -> None:
         """End the step if that is due.
@@ -214,6 +227,7 @@
 
     def _restart_step(self, now: float) -> None:
         self.step_started_at = now
+        self.is_halved = False
         self.step_answers = 0
         self.times = ServiceTimes()
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/weighted_queue.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/weighted_queue.py
@@ -21,6 +21,7 @@
 BURST_REQUESTS = 8
 MIN_WEIGHT = 0.001  # avoids a division by 0
 MIN_SHARE = 0.005  # of the queued weights; a tenant of weight 0 is served as well
+MIN_PART_OF_EQUAL_SHARE = 0.5  # bounds what many tenants of weight 0 get together
 FORGET_AFTER_S = 10.0  # without a tenant above its share, past use counts no more
 MIN_STALE_ENTRIES = 32  # before a heap is rebuilt without them
 
@@ -31,6 +32,8 @@
     Parameters
     ----------
     name : str
+    own_weight : float
+        Weight of the tenant before it is raised to the smallest share.
     weight : float
     virtual_time : float
         Start of the tenant's next request as if it always had its exact share.
@@ -50,6 +53,7 @@
         "length",
         "mean_turn_interval_s",
         "name",
+        "own_weight",
         "size_key",
         "sizes",
         "turn_key",
@@ -57,8 +61,11 @@
         "weight",
     )
 
-    def __init__(self, name: str, weight: float, virtual_time: float) -> None:
+    def __init__(
+        self, name: str, own_weight: float, weight: float, virtual_time: float
+    ) -> None:
         self.name = name
+        self.own_weight = own_weight
         self.weight = weight
         self.virtual_time = virtual_time
         self.callers: OrderedDict[str, CallerQueue] = OrderedDict()
@@ -118,6 +125,7 @@
         "in_burst",
         "keys",
         "length",
+        "own_weight_sum",
         "prune_at",
         "tenants",
         "virtual_time",
@@ -133,6 +141,7 @@
         self.length = 0
         self.in_burst = 0
         self.weight_sum = 0.0
+        self.own_weight_sum = 0.0
         self.virtual_time = 0.0
         self.virtual_times: dict[str, float] = {}
         self.advanced_at = 0.0
@@ -147,10 +156,23 @@
 
     def weight_of(self, tenant: str) -> float:
         """Return the weight of a tenant, which is above 0."""
+        return self._raise_weight(self._own_weight_of(tenant))
+
+    def _own_weight_of(self, tenant: str) -> float:
         weight = self.weights(tenant)
         if weight is None or not isfinite(weight):
-            return self.weight_sum / len(self.tenants) if self.tenants else 1.0
-        return max(weight, MIN_SHARE * self.weight_sum, MIN_WEIGHT)
+            return self.own_weight_sum / len(self.tenants) if self.tenants else 1.0
+        return max(weight, 0.0)
+
+    def _raise_weight(self, own_weight: float) -> float:
+        """Return a weight of at least the smallest share.
+
+        The share refers to the weights before they are raised. Otherwise the tenants
+        of weight 0 would raise one another.
+        """
+        equal_share = 1.0 / max(len(self.tenants), 1)
+        share = min(MIN_SHARE, MIN_PART_OF_EQUAL_SHARE * equal_share)
+        return max(own_weight, share * self.own_weight_sum, MIN_WEIGHT)
 
     def share_of(self, tenant: str) -> float:
         """Return the share of a tenant among the queued ones, including itself."""
@@ -218,6 +240,7 @@
             backlog = self._new_backlog(request.tenant)
             self.tenants[request.tenant] = backlog
             self.weight_sum += backlog.weight
+            self.own_weight_sum += backlog.own_weight
             self._schedule_turn(backlog)
         caller = backlog.callers.get(request.caller)
         if caller is None:
@@ -235,7 +258,8 @@
     def _new_backlog(self, tenant: str) -> TenantBacklog:
         past = self.virtual_times.get(tenant, self.virtual_time)
         start = max(self.virtual_time, past)
-        return TenantBacklog(tenant, self.weight_of(tenant), start)
+        own_weight = self._own_weight_of(tenant)
+        return TenantBacklog(tenant, own_weight, self._raise_weight(own_weight), start)
 
     def pop(self, now: float) -> SlotGrant:
         """Remove and return the next request in turn."""
@@ -259,7 +283,10 @@
 
     def _update_weight(self, backlog: TenantBacklog) -> None:
         """Apply a changed weight from the tenant's next request on."""
-        weight = self.weight_of(backlog.name)
+        own_weight = self._own_weight_of(backlog.name)
+        self.own_weight_sum += own_weight - backlog.own_weight
+        backlog.own_weight = own_weight
+        weight = self._raise_weight(own_weight)
         self.weight_sum += weight - backlog.weight
         backlog.weight = weight
 
@@ -284,7 +311,10 @@
 
     def _remove_tenant(self, backlog: TenantBacklog) -> None:
         del self.tenants[backlog.name]
-        self.weight_sum = self.weight_sum - backlog.weight if self.tenants else 0.0
+        self.weight_sum -= backlog.weight
+        self.own_weight_sum -= backlog.own_weight
+        if not self.tenants:
+            self.weight_sum = self.own_weight_sum = 0.0
         backlog.turn_key = backlog.size_key = 0
         self.virtual_times[backlog.name] = backlog.virtual_time
         if len(self.virtual_times) > self.prune_at:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_warmup.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_warmup.py
@@ -4,6 +4,9 @@
 import pytest
 from anyio import current_time
 
+from rosemaryward.decisions.admission import AdmissionQueue
+from rosemaryward.decisions.admission.grant import GrantState
+from rosemaryward.decisions.admission.warmup import MIN_HOLD_S, WarmupLimit
 from rosemaryward.decisions.errors import OverloadError
 from rosemaryward.decisions.gateway.environment import ReadPolicy
 from rosemaryward.decisions.gateway.outcomes import Answer, ConnectionState, Failure
@@ -299,3 +302,42 @@
     refusal = Answer([], "", ConnectionState.IDLE, None, Failure.BUSY, "busy")
     pool.record_answer(refusal)
     assert pool.queue.limit == 2
+
+
+@pytest.mark.looptime
+async def test_refusals_of_one_step_halve_the_limit_once():
+    """Guards against a limit of one after a burst of refusals, and lost pauses."""
+    limit = WarmupLimit(16)
+    limit.begin()
+    limit.advance(0.0, 0)
+    now = 0.0
+    while limit.limit < 8:
+        now += 0.3
+        limit.advance(now, 0)
+    now += 0.2
+    for _ in range(3):
+        limit.record_overload(now)
+    assert limit.limit == 4
+    assert limit.hold_until == now + MIN_HOLD_S
+    limit.record(Rank.NORMAL, SERVICE_S, 8, now - 0.1)
+    assert not limit.times.count  # it ran at the limit before
+    while limit.limit == 4:
+        now += 0.3
+        limit.advance(now, 0)
+    limit.record_overload(now)
+    assert limit.limit == 2
+
+
+@pytest.mark.looptime
+async def test_late_request_that_only_the_warm_up_held_back_starts():
+    """Guards against a refusal by the dispatch that the waiting task would not give."""
+    queue = AdmissionQueue(SLOTS, {})
+    queue.begin_warmup()
+    first = queue.slot(Rank.NORMAL, "c", "t", 5.0)
+    second = queue.slot(Rank.NORMAL, "c", "t", 0.05)
+    queue.request(first)
+    queue.request(second)
+    assert second.state is GrantState.QUEUED
+    await anyio.sleep(0.06)
+    queue.release(first, completed=True)
+    assert second.state is GrantState.GRANTED
