--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/table.py
@@ -7,6 +7,9 @@
 
 __all__ = ["Client", "ClientState", "ClientTable"]
 
+STARTING_GRACE_S = 0.5
+"""Within it, a start-up message that has not arrived is no sign of a silent client. Of
+400 callers that connect at once and send theirs 0.1 s later, 96 were closed."""
 CLOSE_REASON = "too many connections or too much memory in use"
 
 
@@ -101,6 +104,14 @@
         self.kept_bytes = kept
         return True
 
+    def force_keep(self, size: int) -> None:
+        """Set the bytes that the connection holds already between two messages."""
+        kept = max(size - ALLOWANCE_BYTES, 0)
+        if self in self.table.clients:
+            self.table.held_bytes += kept - self.kept_bytes
+            self.held_bytes += kept - self.kept_bytes
+            self.kept_bytes = kept
+
 
 class ClientTable:
     """All connections of the clients of one address.
@@ -110,6 +121,9 @@
     limits : ClientLimits
     clock : callable
         Returns the time in seconds.
+    closes_holders : bool
+        Whether connections are closed for the memory that they hold. Otherwise only
+        incomplete messages are dropped.
 
     Attributes
     ----------
@@ -121,7 +135,13 @@
         Number of refusals and closes by cause.
     """
 
-    def __init__(self, limits: ClientLimits, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        limits: ClientLimits,
+        clock: Callable[[], float],
+        closes_holders: bool = True,
+    ) -> None:
+        self.closes_holders = closes_holders
         self.limits = limits
         self.clock = clock
         self.clients: dict[Client, None] = {}
@@ -190,9 +210,14 @@
         self.counts[cause] = self.counts.get(cause, 0) + 1
 
     def _bound_starting(self) -> None:
+        """Close the oldest start-up at the limit, a recent one only to make room."""
         starting = self._in_state(ClientState.STARTING)
-        if len(starting) >= self.limits.starting:
-            self._abort(_oldest(starting), "starting_closed")
+        if len(starting) < self.limits.starting:
+            return
+        oldest = _oldest(starting)
+        is_full = len(self.clients) >= self.limits.connections
+        if is_full or self.clock() - oldest.since_s >= STARTING_GRACE_S:
+            self._abort(oldest, "starting_closed")
 
     def _end_one(self) -> None:
         """Ask the client that has been idle for longest to disconnect."""
@@ -240,6 +265,8 @@
             self.hold(oldest, oldest.kept_bytes)
             self.count("message_dropped")
             return True
+        if not self.closes_holders:
+            return False
         blocked = [x for x in self._holders(ClientState.SENDING) if x is not client]
         if blocked:
             self._abort(_oldest(blocked), "answer_dropped")
