Count MySQL connections until they are closed, and raise the descriptor limit

A client that left unread bytes and quit was removed from the table while its descriptor stayed open until it took the bytes. The connection now stays in the table until its transport has closed, and is aborted after `answer_s`. The proxy for the platform did not raise its descriptor limit, from which its limits on clients follow.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
@@ -27,7 +27,13 @@
     MysqlSession,
     StatementRunner,
 )
-from rosemaryward.decisions.clients import ClientLimits, ClientTable, derive_limits
+from rosemaryward.decisions.clients import (
+    Client,
+    ClientLimits,
+    ClientState,
+    ClientTable,
+    derive_limits,
+)
 from rosemaryward.decisions.clock import boot_time_s
 
 __all__ = ["CallerServer"]
@@ -189,8 +195,26 @@
         try:
             await self._serve_client(reader, writer)
         finally:
-            self.clients.remove(client)
+            try:
+                await self._close_writer(client, writer)
+            finally:
+                self.clients.remove(client)
+
+    async def _close_writer(self, client: Client, writer: asyncio.StreamWriter) -> None:
+        """Close a connection, which stays open until the client has taken the answer.
+
+        After `answer_s` it is closed in any case.
+        """
+        client.enter(ClientState.SENDING)
+        try:
             writer.close()
+            with (
+                contextlib.suppress(OSError),
+                anyio.move_on_after(self.clients.limits.answer_s),
+            ):
+                await writer.wait_closed()
+        finally:
+            writer.transport.abort()
 
     async def _serve_client(
         self, reader: CommandReader, writer: asyncio.StreamWriter
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/tests/test_server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/tests/test_server.py
@@ -7,6 +7,7 @@
 
 from rosemaryward.callers.reader import CommandReader
 from rosemaryward.callers.server import CallerServer
+from rosemaryward.decisions.clients import ClientLimits
 from rosemaryward.decisions.errors import (
     NotRunError,
     OutcomeUnknownError,
@@ -268,3 +269,45 @@
         await _execute(connection, "SELECT " + "1 + " * 50 + "1 FROM t")
     assert runner.calls == []
     connection.close()
+
+
+class UnreadWriter:
+    """Writer whose connection closes once the client has taken its answer."""
+
+    def __init__(self):
+        self.transport = self
+        self.taken = anyio.Event()
+        self.aborted = False
+
+    def close(self):
+        pass
+
+    async def wait_closed(self):
+        await self.taken.wait()
+
+    def abort(self):
+        self.aborted = True
+
+
+@pytest.mark.parametrize("takes_answer", [True, False])
+async def test_connection_counts_until_it_is_closed(runner, takes_answer):
+    """Guards against descriptors of clients that quit without reading the answer."""
+    limits = ClientLimits(
+        connections=4, starting=4, ending=1, memory_bytes=0, answer_s=0.2
+    )
+    server = CallerServer("127.0.0.1", 0, runner, runner, limits=limits)
+
+    async def serve_client(reader, writer):
+        pass
+
+    server._serve_client = serve_client
+    writer = UnreadWriter()
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(server._serve, CommandReader(), writer)
+        await anyio.wait_all_tasks_blocked()
+        assert len(server.clients.clients) == 1
+        assert not writer.aborted
+        if takes_answer:
+            writer.taken.set()
+    assert not server.clients.clients
+    assert writer.aborted
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_main.py
@@ -13,7 +13,7 @@
 from rosemaryward.decisions.errors import SettingsError
 from rosemaryward.operators.bounded_logs import configure_bounded_logging
 from rosemaryward.platform.settings import SETTINGS_VARIABLE, read_settings
-from rosemaryward.proxy.memory import return_freed_memory
+from rosemaryward.proxy.memory import raise_descriptor_limit, return_freed_memory
 from rosemaryward.proxy.platform_node import PlatformNode
 
 __all__ = ["main"]
@@ -34,6 +34,7 @@
         raise SystemExit(EXIT_USAGE) from error
     configure_bounded_logging(settings.name)
     return_freed_memory()
+    raise_descriptor_limit()
     node = PlatformNode(settings, path)
     try:
         anyio.run(
