--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/warmup.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/admission/warmup.py
@@ -97,6 +97,7 @@
         self.limit = slots
         self.ended: Callable[[float], None] | None = None
         self.steps_back = 0
+        self.is_halved = False
 
     def begin(self) -> None:
         """Start a warm-up; the time counts from the next `advance`."""
