Name the enforcement of limits, and keep one copy of text and defaults

`report_limits` also closes connections, so it is `enforce_limits` in `clients/enforcement.py` now. The text about memory for long statements and the limits of the smallest host existed in several packages; they are in `decisions.clients`. No change in behaviour; the tests of the packages concerned pass.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/errors.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/errors.py
@@ -6,6 +6,7 @@
 
 from mysql_mimic.errors import SQLSTATES, ErrorCode, MysqlError
 
+from rosemaryward.decisions.clients import NO_MEMORY
 from rosemaryward.decisions.errors import (
     NotRunError,
     OutcomeUnknownError,
@@ -62,9 +63,7 @@
 
 def memory_error() -> MysqlError:
     """Return the error for a statement that the memory does not suffice for."""
-    return MysqlError(
-        "not run: the memory for long statements is in use", _error_code(NOT_RUN_CODE)
-    )
+    return MysqlError(NO_MEMORY, _error_code(NOT_RUN_CODE))
 
 
 def _error_code(number: int) -> ErrorCode:
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/limits.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/limits.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from rosemaryward.decisions.clients import ClientLimits, ProcessLimits
+from rosemaryward.decisions.clients import DEFAULT_LIMITS, ClientLimits, ProcessLimits
 
-__all__ = ["mysql_limits"]
+__all__ = ["DEFAULT_CALLER_LIMITS", "mysql_limits"]
 
 LOGIN_S = 10.0  # the default of MySQL servers
 MESSAGE_S = 30.0  # 16 MiB at 5 Mbit/s
@@ -16,3 +16,6 @@
     return msgspec.structs.replace(
         limits.callers, startup_s=LOGIN_S, message_s=MESSAGE_S, answer_s=ANSWER_S
     )
+
+
+DEFAULT_CALLER_LIMITS = mysql_limits(DEFAULT_LIMITS)
--- a/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
@@ -19,7 +19,7 @@
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.stream import MysqlStream
 
-from rosemaryward.callers.limits import mysql_limits
+from rosemaryward.callers.limits import DEFAULT_CALLER_LIMITS
 from rosemaryward.callers.reader import CallerProtocol, CommandReader
 from rosemaryward.callers.session import (
     AccountSource,
@@ -32,7 +32,6 @@
     ClientLimits,
     ClientState,
     ClientTable,
-    derive_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 
@@ -41,8 +40,6 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 RECEIVE_BUFFER_BYTES = 32 * 1024
 """Receive buffer of each connection, which the system doubles."""
-DEFAULT_LIMITS = mysql_limits(derive_limits(memory_mib=200, descriptors=4300))
-"""Limits of the smallest host."""
 DRAIN_IDLE_TIMEOUT_S = 2.0
 """Idle time after which a connection is closed during a drain."""
 
@@ -110,7 +107,7 @@
         accounts: AccountSource,
         tls: ssl.SSLContext | None = None,
         on_connection_count: Callable[[int], None] = lambda count: None,
-        limits: ClientLimits = DEFAULT_LIMITS,
+        limits: ClientLimits = DEFAULT_CALLER_LIMITS,
     ) -> None:
         self.clients = ClientTable(limits, boot_time_s)
         self.host = host
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/__init__.py
@@ -1,21 +1,25 @@
 """Limits on the connections and the memory of clients, without I/O."""
 
+from rosemaryward.decisions.clients.enforcement import enforce_limits
 from rosemaryward.decisions.clients.limits import (
     ALLOWANCE_BYTES,
+    DEFAULT_LIMITS,
+    NO_MEMORY,
     ClientLimits,
     ProcessLimits,
     derive_limits,
 )
-from rosemaryward.decisions.clients.reports import report_limits
 from rosemaryward.decisions.clients.table import Client, ClientState, ClientTable
 
 __all__ = [
     "ALLOWANCE_BYTES",
+    "DEFAULT_LIMITS",
+    "NO_MEMORY",
     "Client",
     "ClientLimits",
     "ClientState",
     "ClientTable",
     "ProcessLimits",
     "derive_limits",
-    "report_limits",
+    "enforce_limits",
 ]
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/enforcement.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/enforcement.py
@@ -5,14 +5,14 @@
 
 from rosemaryward.decisions.clients.table import ClientTable
 
-__all__ = ["report_limits"]
+__all__ = ["enforce_limits"]
 
 INTERVAL_S = 1.0
 
 log = structlog.get_logger(__name__)
 
 
-async def report_limits(clients: ClientTable, address: str = "callers") -> None:
+async def enforce_limits(clients: ClientTable, address: str = "callers") -> None:
     """Close expired connections and log new refusals once a second until cancelled."""
     reported: dict[str, int] = {}
     while True:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/limits.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-__all__ = ["ALLOWANCE_BYTES", "ClientLimits", "ProcessLimits", "derive_limits"]
+__all__ = [
+    "ALLOWANCE_BYTES",
+    "DEFAULT_LIMITS",
+    "NO_MEMORY",
+    "ClientLimits",
+    "ProcessLimits",
+    "derive_limits",
+]
 
 MIB = 1 << 20
 ALLOWANCE_BYTES = 16 * 1024
@@ -29,6 +36,7 @@
 INTERNAL_CONNECTIONS = 32
 INTERNAL_REQUEST_S = 15.0
 MIN_CONNECTIONS = 16
+NO_MEMORY = "not run: the memory for long statements is in use"
 
 
 class ClientLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -123,3 +131,7 @@
         ending=max(int(connections * ENDING_SHARE), 1),
         memory_bytes=memory_bytes,
     )
+
+
+DEFAULT_LIMITS = derive_limits(memory_mib=200, descriptors=4300)
+"""Limits of the smallest host."""
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/server.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/server.py
@@ -13,10 +13,10 @@
 from starlette.applications import Starlette
 
 from rosemaryward.decisions.clients import (
+    DEFAULT_LIMITS,
     ClientLimits,
     ClientTable,
-    derive_limits,
-    report_limits,
+    enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import SettingsError
@@ -29,7 +29,6 @@
 KEEP_ALIVE_TIMEOUT_S = 5
 SHUTDOWN_TIMEOUT_S = 5
 MAX_HEADER_BYTES = 16_384
-DEFAULT_LIMITS = derive_limits(memory_mib=200, descriptors=4300).internal
 
 
 class _Server(uvicorn.Server):
@@ -98,7 +97,7 @@
         port: int,
         certificate: Path | None = None,
         key: Path | None = None,
-        limits: ClientLimits = DEFAULT_LIMITS,
+        limits: ClientLimits = DEFAULT_LIMITS.internal,
     ) -> None:
         self.clients = ClientTable(limits, boot_time_s)
         self.app = app
@@ -121,7 +120,7 @@
             self._server = _Server(config)
             tasks = await stack.enter_async_context(anyio.create_task_group())
             tasks.start_soon(self._serve, [listener], tasks.cancel_scope)
-            tasks.start_soon(report_limits, self.clients, "operators")
+            tasks.start_soon(enforce_limits, self.clients, "operators")
             stack.callback(self._stop)
             await self._server.listening.wait()
             self._stack = stack.pop_all()
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
@@ -15,7 +15,6 @@
     Client,
     ClientState,
     ClientTable,
-    derive_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
@@ -24,16 +23,12 @@
 
 __all__ = [
     "BUSY_REASON",
-    "DEFAULT_LIMITS",
     "ConnectionMemory",
     "FailureLog",
     "admitted",
     "bound_receive_buffers",
 ]
 
-DEFAULT_LIMITS = derive_limits(memory_mib=200, descriptors=4300)
-"""Limits of the smallest host."""
-
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Receive buffer of each connection, which the system doubles. The event loop reads
 all that has arrived before a connection can stop it."""
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -13,11 +13,12 @@
 from anyio.streams.buffered import BufferedByteReceiveStream
 
 from rosemaryward.decisions.clients import (
+    DEFAULT_LIMITS,
     Client,
     ClientLimits,
     ClientState,
     ClientTable,
-    report_limits,
+    enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_with
@@ -38,7 +39,6 @@
 from rosemaryward.decisions.links import compress_if_smaller, decompress
 from rosemaryward.decisions.mirror import ChangesReply, ChangesRequest
 from rosemaryward.peers.clients import (
-    DEFAULT_LIMITS,
     FailureLog,
     admitted,
     bound_receive_buffers,
@@ -186,7 +186,7 @@
         )
         bound_receive_buffers(listener)
         async with listener, anyio.create_task_group() as tasks:
-            tasks.start_soon(report_limits, self.clients, "control")
+            tasks.start_soon(enforce_limits, self.clients, "control")
             await listener.serve(self._serve)
 
     async def _serve(self, stream: SocketStream) -> None:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -13,11 +13,12 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from rosemaryward.decisions.clients import (
+    DEFAULT_LIMITS,
     Client,
     ClientLimits,
     ClientState,
     ClientTable,
-    report_limits,
+    enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.decoding import decode_with
@@ -41,7 +42,6 @@
 from rosemaryward.decisions.types import Rank
 from rosemaryward.peers.clients import (
     BUSY_REASON,
-    DEFAULT_LIMITS,
     ConnectionMemory,
     FailureLog,
     admitted,
@@ -291,7 +291,7 @@
         )
         bound_receive_buffers(listener)
         async with listener, anyio.create_task_group() as self.task_group:
-            self.task_group.start_soon(report_limits, self.clients, "relays")
+            self.task_group.start_soon(enforce_limits, self.clients, "relays")
             await listener.serve(self._serve)
 
     def leave(self) -> None:
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -15,11 +15,12 @@
 from anyio.streams.tls import TLSListener
 
 from rosemaryward.decisions.clients import (
+    DEFAULT_LIMITS,
     Client,
     ClientLimits,
     ClientState,
     ClientTable,
-    report_limits,
+    enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import NotRunError, PeerError
@@ -37,7 +38,6 @@
 from rosemaryward.decisions.types import Rank
 from rosemaryward.peers.clients import (
     BUSY_REASON,
-    DEFAULT_LIMITS,
     ConnectionMemory,
     admitted,
     bound_receive_buffers,
@@ -235,7 +235,7 @@
         self.port = listener.extra(SocketAttribute.local_port)
         self.task_group = anyio.create_task_group()
         await self.task_group.__aenter__()
-        self.task_group.start_soon(report_limits, self.clients, "statements")
+        self.task_group.start_soon(enforce_limits, self.clients, "statements")
         if self.tls is not None:
             tls_listener = TLSListener(listener, self.tls, standard_compatible=False)
             self.task_group.start_soon(tls_listener.serve, self._serve)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/node.py
@@ -12,7 +12,7 @@
 
 from rosemaryward.callers.limits import mysql_limits
 from rosemaryward.callers.server import CallerServer
-from rosemaryward.decisions.clients import report_limits
+from rosemaryward.decisions.clients import enforce_limits
 from rosemaryward.decisions.document import check_document
 from rosemaryward.decisions.document.schema import DatabaseSection
 from rosemaryward.decisions.document.stored import StoredDocument
@@ -345,7 +345,7 @@
             on_connection_count=self.metrics.set_caller_connections,
             limits=mysql_limits(self.limits),
         )
-        self.tasks.start_soon(report_limits, server.clients, "callers")
+        self.tasks.start_soon(enforce_limits, server.clients, "callers")
         self.caller_server = await self.exit_stack.enter_async_context(server)
         self.log.info("accepting callers", port=server.port)
 
