--- a/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/server.py
@@ -19,7 +19,7 @@
 from mysql_mimic.errors import MysqlError
 from mysql_mimic.stream import MysqlStream
 
-from rosemaryward.callers.limits import mysql_limits
+from rosemaryward.callers.limits import DEFAULT_CALLER_LIMITS
 from rosemaryward.callers.reader import CallerProtocol, CommandReader
 from rosemaryward.callers.session import (
     AccountSource,
@@ -27,7 +27,12 @@
     MysqlSession,
     StatementRunner,
 )
-from rosemaryward.decisions.clients import ClientLimits, ClientTable, derive_limits
+from rosemaryward.decisions.clients import (
+    Client,
+    ClientLimits,
+    ClientState,
+    ClientTable,
+)
 from rosemaryward.decisions.clock import boot_time_s
 
 __all__ = ["CallerServer"]
@@ -35,8 +40,6 @@
 DRAIN_POLL_INTERVAL_S = 0.02
 RECEIVE_BUFFER_BYTES = 32 * 1024
 """Receive buffer of each connection, which the system doubles."""
-DEFAULT_LIMITS = mysql_limits(derive_limits(memory_mib=200, descriptors=4300))
-"""Limits of the smallest host."""
 DRAIN_IDLE_TIMEOUT_S = 2.0
 """Idle time after which a connection is closed during a drain."""
 
@@ -104,7 +107,7 @@
         accounts: AccountSource,
         tls: ssl.SSLContext | None = None,
         on_connection_count: Callable[[int], None] = lambda count: None,
-        limits: ClientLimits = DEFAULT_LIMITS,
+        limits: ClientLimits = DEFAULT_CALLER_LIMITS,
     ) -> None:
         self.clients = ClientTable(limits, boot_time_s)
         self.host = host
@@ -189,8 +192,26 @@
         try:
             await self._serve_client(reader, writer)
         finally:
-            self.clients.remove(client)
+            try:
+                await self._close_writer(client, writer)
+            finally:
+                self.clients.remove(client)
+
+    async def _close_writer(self, client: Client, writer: asyncio.StreamWriter) -> None:
+        """Close a connection, which stays open until the client has taken the answer.
+
+        After `answer_s` it is closed in any case.
+        """
+        client.enter(ClientState.SENDING)
+        try:
             writer.close()
+            with (
+                contextlib.suppress(OSError),
+                anyio.move_on_after(self.clients.limits.answer_s),
+            ):
+                await writer.wait_closed()
+        finally:
+            writer.transport.abort()
 
     async def _serve_client(
         self, reader: CommandReader, writer: asyncio.StreamWriter
