--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_quota.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_quota.py
@@ -1,16 +1,17 @@
 import contextlib
 import socket
-import types
 
 import anyio
 import pytest
 
 from rosemaryward.decisions.errors import OverloadError, PeerError
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
+from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
 from rosemaryward.decisions.leadership.records import Leadership
 from rosemaryward.decisions.quota import LendRequest, ShareDonation
 from rosemaryward.decisions.relays.service import RelayService
+from rosemaryward.decisions.tenants import Tenant, TenantDirectory
 from rosemaryward.decisions.types import Place
 from rosemaryward.operators.metrics import ProxyMetrics
 from rosemaryward.peers.relays import RelayServer
@@ -21,11 +22,18 @@
 
 
 def tenant(name, rate_per_s, burst=5.0):
-    return types.SimpleNamespace(name=name, rate_per_s=rate_per_s, burst=burst)
+    return Tenant(name=name, rate_per_s=rate_per_s, burst=burst)
 
 
-def environment(*tenants):
-    return types.SimpleNamespace(version=3, tenants={t.name: t for t in tenants})
+def environment(tenants):
+    """Return a configuration, without tenants if they are None."""
+    return Environment(
+        version=3,
+        routes={},
+        groups={},
+        transaction_idle_s=3.0,
+        tenants=None if tenants is None else TenantDirectory((t, []) for t in tenants),
+    )
 
 
 class LoadedMirror:
@@ -60,7 +68,7 @@
             grace_s=1.0,
             first_start=False,
         )
-        self.environment = environment(*tenants)
+        self.environment = environment(tenants)
         service = RelayService(
             EndpointDirectory(None), Leadership(), lambda group: None
         )
@@ -168,6 +176,6 @@
 
 def test_only_tenants_with_a_rate_have_a_limit():
     """Guards against a limit for tenants without a rate."""
-    rates = tenant_rates(environment(tenant("a", 2.0), tenant("b", None)))
+    rates = tenant_rates(environment([tenant("a", 2.0), tenant("b", None)]))
     assert list(rates) == ["a"]
-    assert tenant_rates(types.SimpleNamespace(version=1)) == {}
+    assert tenant_rates(environment(None)) == {}
