--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_quota.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_quota.py
@@ -1,5 +1,4 @@
 import contextlib
-import socket
 
 import anyio
 import pytest
@@ -17,6 +16,7 @@
 from rosemaryward.peers.relays import RelayServer
 from rosemaryward.platform.settings import HostSettings
 from rosemaryward.proxy.platform_quota import PlatformQuota, tenant_rates
+from rosemaryward.proxy.tests.test_platform_tenants import free_ports
 
 START_TIMEOUT_S = 5.0
 
@@ -83,7 +83,7 @@
         self.server = RelayServer(self.record.relay_address, service)
 
 
-def make_proxies(free_ports, *tenants):
+def make_proxies(*tenants):
     members = MemberDirectory()
     ports = free_ports(2)
     proxies = [Proxy(f"p{i}", ports[i], members, tenants) for i in range(2)]
@@ -93,19 +93,6 @@
     return proxies
 
 
-@pytest.fixture
-def free_ports():
-
-    def find(count):
-        sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-        ports = [sock.getsockname()[1] for sock in sockets]
-        for sock in sockets:
-            sock.close()
-        return ports
-
-    return find
-
-
 async def wait_for_shares(proxies):
     """Wait until each proxy has got a slice of each share."""
     while any(  # noqa: ASYNC110 - the ledger has no event
@@ -114,9 +101,9 @@
         await anyio.sleep(0.02)
 
 
-async def test_proxies_exchange_shares_and_tokens(free_ports):
+async def test_proxies_exchange_shares_and_tokens():
     """Guards against wiring that loses the messages between proxies."""
-    proxies = make_proxies(free_ports, tenant("acme", 100.0, 50.0))
+    proxies = make_proxies(tenant("acme", 100.0, 50.0))
     async with anyio.create_task_group() as tasks:
         for proxy in proxies:
             tasks.start_soon(proxy.server.run)
@@ -142,9 +129,9 @@
     assert "acme" not in text
 
 
-async def test_without_limited_tenants_nothing_is_sent(free_ports):
+async def test_without_limited_tenants_nothing_is_sent():
     """Guards against messages in deployments without tenants."""
-    proxies = make_proxies(free_ports, tenant("acme", None))
+    proxies = make_proxies(tenant("acme", None))
     with anyio.move_on_after(0.5):
         async with anyio.create_task_group() as tasks:
             for proxy in proxies:
@@ -153,9 +140,9 @@
     assert not proxies[0].quota.client.connections
 
 
-async def test_unreachable_allocator_is_a_peer_error(free_ports):
+async def test_unreachable_allocator_is_a_peer_error():
     """Guards against an error that ends the donor's task."""
-    proxies = make_proxies(free_ports, tenant("acme", 1.0))
+    proxies = make_proxies(tenant("acme", 1.0))
     channel = proxies[0].quota.donor.channel
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(proxies[0].quota.client.run)
@@ -165,9 +152,9 @@
         tasks.cancel_scope.cancel()
 
 
-def test_leaving_proxy_returns_donations(free_ports):
+def test_leaving_proxy_returns_donations():
     """Guards against a share that a stopping process keeps."""
-    proxy = make_proxies(free_ports, tenant("acme", 1.0))[0]
+    proxy = make_proxies(tenant("acme", 1.0))[0]
     message = ShareDonation("p1", "p1.1", "p0.1", "p0", 1, 0.25, 1e12, False)
     assert not proxy.quota.allocator.donate(message).released
     proxy.quota.leave()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_tenants.py
@@ -1,6 +1,7 @@
 """Tenants at one proxy: start-ups, readiness, metrics, and a run with fakes."""
 
 import contextlib
+import random
 import socket
 
 import anyio
@@ -33,22 +34,21 @@
 SECRETS = (KEY, OTHER_KEY, NEW_KEY, "secret-unknown")
 REVOKE_S = 3.0  # longer than the interval between two reads of the store
 INFINITY = float("inf")
+PORT_RANGE = (10_000, 18_000)
 
 
 def free_ports(count):
-    """Return free ports of which the last three are consecutive."""
+    """Return consecutive free ports.
+
+    They are below the range from which the system takes the ports of outgoing
+    connections, one of which could else take a port before it is used.
+    """
     while True:
-        with contextlib.ExitStack() as stack:
-            servers = [
-                stack.enter_context(socket.create_server(("127.0.0.1", 0)))
-                for _ in range(count - 2)
-            ]
-            ports = [server.getsockname()[1] for server in servers]
-            ports += [ports[-1] + 1, ports[-1] + 2]
-            with contextlib.suppress(OSError, OverflowError):
-                for port in ports[-2:]:
-                    stack.enter_context(socket.create_server(("127.0.0.1", port)))
-                return ports
+        first = random.randrange(*PORT_RANGE)
+        with contextlib.ExitStack() as stack, contextlib.suppress(OSError):
+            for port in range(first, first + count):
+                stack.enter_context(socket.create_server(("127.0.0.1", port)))
+            return list(range(first, first + count))
 
 
 def make_node(tmp_path, strict=True, revoke_ms=REVOKE_S * 1000, name="host-1"):
