Let hosts ask for tokens at most arrivals of a tenant over its limit

Cause: a host that was refused tokens was told to ask again in up to 1 s, and refused operations meanwhile, also those that arrived within the tenant's limit. That this is the cause is suspected.

Change: an allocator answers 120 requests/s and tenant besides its fill, not 20, and asks for pauses of 0.02 s, not 0.1. A tenant that an allocator does not know yet is asked for again after 0.2 s.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/allocator.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/allocator.py
@@ -5,7 +5,7 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
-from rosemaryward.decisions.quota.bucket import MAX_RETRY_S, MIN_RETRY_S, TokenBucket
+from rosemaryward.decisions.quota.bucket import MAX_RETRY_S, TokenBucket
 from rosemaryward.decisions.quota.limits import QuotaBounds, TenantRate
 from rosemaryward.decisions.quota.messages import (
     DonationReply,
@@ -17,6 +17,7 @@
 
 __all__ = ["Allocator"]
 
+UNKNOWN_TENANT_RETRY_S = 0.2  # the configuration is passed on within about a second
 RETAINED_BUCKETS = 100  # of tenants that the configuration no longer has
 
 log = structlog.get_logger(__name__)
@@ -106,7 +107,7 @@
         if self.leaving:
             return LendReply(0, MAX_RETRY_S)
         if rate is None:  # this host may not have the newest configuration yet
-            return LendReply(0, MIN_RETRY_S)
+            return LendReply(0, UNKNOWN_TENANT_RETRY_S)
         bucket = self._bucket(request.tenant)
         bucket.settle(rate, self.shares, self.bounds)
         taken = bucket.take(request.tokens)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/bucket.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/quota/bucket.py
@@ -6,9 +6,11 @@
 __all__ = ["TokenBucket"]
 
 # Requests that an allocator answers per second and tenant besides those that its
-# fill serves; further hosts are told to ask later.
-REQUESTS_PER_S = 20.0
-MIN_RETRY_S = 0.1  # shorter than the time for which a bucket holds its fill
+# fill serves; further hosts are told to ask later. An operation that arrives within
+# its tenant's limit is refused by a host that may not ask, so the bound is far above
+# the usual number of requests.
+REQUESTS_PER_S = 120.0
+MIN_RETRY_S = 0.02  # shorter than the time for which a bucket holds its fill
 MAX_TURN_S = 1.0  # a host whose demand ends lets its turn pass
 MAX_RETRY_S = 2.0
 ROUNDING = 1e-9
