--- a/review/bed.py
+++ b/review/bed.py
@@ -24,6 +24,7 @@
 COMMAND = ("python3", "-S", "deploy/proxy.py")  # `run` of deploy/system.toml
 ZONES = (("hobart-a", "hobart"), ("launceston-a", "launceston"), ("hobart-b", "hobart"))
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+LINE_LIMIT = 4 << 20
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 
 
@@ -263,7 +264,7 @@
 
     async def start(self, host="127.0.0.1", port=0) -> None:
         """Listen for proxies."""
-        self.server = await asyncio.start_server(self.serve, host, port)
+        self.server = await asyncio.start_server(self.serve, host, port, limit=LINE_LIMIT)
         self.address = "127.0.0.1:%d" % self.server.sockets[0].getsockname()[1]
 
     def status(self) -> str:
@@ -756,7 +757,7 @@
         """Open a session; return whether it is ready."""
         try:
             async with asyncio.timeout(limit_s):
-                self.reader, self.writer = await asyncio.open_connection(*address)
+                self.reader, self.writer = await asyncio.open_connection(*address, limit=LINE_LIMIT)
                 self.writer.write(f"STARTUP {database} {self.name}\r\n".encode())
                 line = (await self.reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
@@ -791,6 +792,18 @@
         answer.request = request
         return answer
 
+    async def rest(self, until: float) -> str | None:
+        """Send nothing until a time; return a message that arrives meanwhile."""
+        try:
+            async with asyncio.timeout(max(until - now(), 0)):
+                line = (await self.reader.readuntil(b"\r\n"))[:-2].decode("latin-1")
+        except TimeoutError:
+            return None
+        except (OSError, asyncio.IncompleteReadError):
+            line = "connection closed"
+        self.record.add(self.name, "gets, while it rests:", line)
+        return line
+
     def close(self) -> None:
         """Close the session."""
         if self.writer is not None:
@@ -806,7 +819,7 @@
     """Run a case, a function of a folder that returns the exit status; exit with it."""
     folder = Path(file).resolve().parent
     try:
-        status = asyncio.run(asyncio.wait_for(case(folder), 110))
+        status = asyncio.run(asyncio.wait_for(case(folder), float(os.environ.get("LIMIT", 110))))
     except Exception as error:  # whatever it is, the case has not been judged
         print(f"the case could not run: {error!r}")
         if os.environ.get("KEEP"):
