--- a/review/bed.py
+++ b/review/bed.py
@@ -51,6 +51,11 @@
         print(*words)
 
 
+def shorten(text: str) -> str:
+    """Return the first part of a long statement."""
+    return text if len(text) < 200 else f"{text[:80]}... ({len(text)} characters)"
+
+
 def free_ports(count: int, host: str = "127.0.0.1") -> int:
     """Return the first of `count` consecutive free ports."""
     while True:
@@ -305,8 +310,7 @@
                 if line.startswith("TERMINATE"):
                     return
                 _, request, text = line.split(" ", 2)
-                self.group.statements.append((now(), self.name, request, text))
-                self.group.record.add(self.name, "runs", request, text)
+                self.group.record.add(self.name, "runs", request, shorten(text))
                 lines = await session.run(request, text)
                 if lines is None:  # the answer is lost
                     return
@@ -371,7 +375,8 @@
             parts = rest.split(" ", 2)
             if len(parts) < 3 or parts[1] not in ("READ", "WRITE"):
                 return self.fail("MALFORMED")
-            self.prepared[parts[0]] = (parts[1], parts[2])
+            shape = parts[2] if group.keeps_shapes else "-"
+            self.prepared[parts[0] if group.keeps_shapes else ""] = (parts[1], shape)
             return done
         if word == "BEGIN":
             self.read_only = rest == "READ"
@@ -395,6 +400,7 @@
         shape = ""
         if word == "EXECUTE":
             name, item, *data = rest.split(" ", 2)
+            name = name if group.keeps_shapes else ""
             if name not in self.prepared:
                 return self.fail("NOSUCHSTMT")
             word, shape = self.prepared[name]
@@ -443,9 +449,9 @@
             Instance(self, f"i-{secrets.token_hex(4)}", zone) for zone, _ in ZONES
         ]
         self.instances[0].role = "primary"
+        self.keeps_shapes = True  # otherwise only the last prepared one is known
         self.ran: list = []
         self.commits: list = []
-        self.statements: list = []
         self.promotions: list = []
         self.writers: set = set()
         self.beats = 0
@@ -769,8 +775,7 @@
     async def ask(self, text: str, limit_s=5.0) -> Answer | None:
         """Send a statement; return its answer, None if there is none."""
         request = secrets.token_hex(8)
-        shown = text if len(text) < 200 else text[:200] + f"... ({len(text)} characters)"
-        self.record.add(self.name, "sends", request, shown)
+        self.record.add(self.name, "sends", request, shorten(text))
         rows, word, rest = [], "", ""
         try:
             self.writer.write(f"QUERY {request} {text}\r\n".encode("latin-1"))
