--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,5 @@
-"""A connection to the readiness address is reset before its request is sent."""
+"""A shape with blanks changes what the prepared statements of two clients run."""
 
-import asyncio
-import struct
 import sys
 from pathlib import Path
 
@@ -9,76 +7,50 @@
 
 from bed import *  # noqa: E402, F403
 
-PROBES = 20  # one each second, as the load balancer sends them
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SHAPE = "q2c"
+LONG_SHAPE = "q2c WRITE note"  # one field: the last one extends to the end of the line
+PLAIN_SHAPE = "q2d"
 
 
-async def probe(fleet, proxy, reset: bool) -> None:
-    """Open a probe's connection; send the request, unless it is reset before."""
-    connection = socket.socket()
-    connection.setblocking(False)
-    try:
-        async with asyncio.timeout(1.0):
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(connection, proxy.ready)
-            if reset:
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-                fleet.record.add("probe of", proxy.name, "is reset")
-                return
-            await loop.sock_sendall(connection, b"GET /ready HTTP/1.1\r\nHost: probe\r\n\r\n")
-            answer = await loop.sock_recv(connection, 4096)
-            fleet.record.add("probe of", proxy.name, "->", answer[:15])
-    except (OSError, TimeoutError) as error:
-        fleet.record.add("probe of", proxy.name, "failed:", repr(error))
-    finally:
-        connection.close()
-
-
-async def transact(fleet, proxy, number, unanswered) -> None:
-    """Run transactions on one session at a time until cancelled."""
-    count = 0
-    while True:
-        client = Client(fleet.record, f"client-{number}")
-        if await client.open(proxy.front, "shop"):
-            while True:
-                count += 1
-                for text in ("BEGIN", f"WRITE item{number} data{count}", "COMMIT"):
-                    answer = await client.ask(text)
-                    if answer is None:
-                        unanswered.append((proxy.name, text))
-                        break
-                if answer is None:
-                    break
-                await asyncio.sleep(0.3)
-        client.close()
-        await asyncio.sleep(0.3)
+async def execute(client, name: str, argument: str, expected: list, *prepared: str):
+    """Execute a prepared statement; note what the instance has to run for it."""
+    answer = await client.ask(f"EXECUTE {name} {argument}")
+    if answer is not None and answer.code == "OK":
+        expected.append((answer.request, *prepared, argument))
 
 
 async def case(folder):
-    """Return whether each process stayed alive."""
+    """Return whether each acknowledged write ran with its own shape, item and data."""
     async with Fleet(folder) as fleet:
         fleet.record.say("six proxies are ready; trouble:", trouble())
-        victim = fleet.proxies[0]  # a share of .1 of the machines
-        unanswered: list = []
-        clients = [
-            asyncio.create_task(transact(fleet, proxy, n, unanswered))
-            for n, proxy in enumerate(fleet.proxies)
-        ]
-        for number in range(PROBES):
-            for proxy in fleet.proxies:
-                reset = trouble() and proxy is victim and number % 2 == 0
-                await probe(fleet, proxy, reset)
-            await asyncio.sleep(1.0)
-        for task in clients:
-            task.cancel()
-        await asyncio.gather(*clients, return_exceptions=True)
-        exits = {proxy.name: len(proxy.exits) for proxy in fleet.proxies if proxy.exits}
-        fleet.record.say("processes that ended by themselves:", exits or "none")
-        fleet.record.say("statements without an answer:", len(unanswered), unanswered[:5])
-        for line in victim.log_text().splitlines():
-            if '"proxy failed"' in line or line.startswith("RuntimeError"):
-                fleet.record.add("log of", victim.name, line[:300])
-        return BROKEN if exits else HELD
+        other_shape = LONG_SHAPE if trouble() else PLAIN_SHAPE
+        front = fleet.proxies[0].front
+        first = Client(fleet.record, "first")
+        second = Client(fleet.record, "second")
+        for client in (first, second):
+            if not await client.open(front, "shop"):
+                raise RuntimeError("no session")
+        expected: list = []
+        await first.ask(f"PREPARE save WRITE {SHAPE}")
+        await first.ask(f"PREPARE look READ {SHAPE}")
+        await execute(first, "save", "credit-1 ten", expected, "WRITE", SHAPE)
+        await execute(first, "look", "credit-1", expected, "READ", SHAPE)
+        await second.ask(f"PREPARE save WRITE {other_shape}")
+        await second.ask(f"PREPARE look READ {other_shape}")
+        await execute(second, "save", "booking-7 monday", expected, "WRITE", other_shape)
+        await execute(second, "look", "booking-7", expected, "READ", other_shape)
+        await execute(first, "save", "credit-2 twenty", expected, "WRITE", SHAPE)
+        await execute(first, "look", "credit-1", expected, "READ", SHAPE)
+        read = {}
+        for item in ("credit-1", "booking-7", "credit-2"):
+            answer = await first.ask(f"READ {item}")
+            read[item] = answer and answer.rows
+        ran = {request: (request, *rest) for request, *rest in fleet.group.ran}
+        wrong = [(e, ran.get(e[0])) for e in expected if ran.get(e[0]) != e]
+        for asked, run in wrong:
+            fleet.record.say("asked for", asked, "but the instance ran", run)
+        fleet.record.say("read afterwards:", read)
+        return BROKEN if wrong else HELD
 
 
 run_case(__file__, case)
