--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,6 +10,8 @@
 SHAPE = "q2c"
 LONG_SHAPE = "q2c WRITE note"  # one field: the last one extends to the end of the line
 PLAIN_SHAPE = "q2d"
+OWN_SHAPE = "q2e WRITE note"  # its first word is no other client's shape
+OWN_PLAIN_SHAPE = "q2e"
 
 
 async def execute(client, name: str, argument: str, expected: list, *prepared: str):
@@ -31,6 +33,9 @@
             if not await client.open(front, "shop"):
                 raise RuntimeError("no session")
         expected: list = []
+        own_shape = OWN_SHAPE if trouble() else OWN_PLAIN_SHAPE
+        await second.ask(f"PREPARE own WRITE {own_shape}")
+        await execute(second, "own", "booking-6 sunday", expected, "WRITE", own_shape)
         await first.ask(f"PREPARE save WRITE {SHAPE}")
         await first.ask(f"PREPARE look READ {SHAPE}")
         await execute(first, "save", "credit-1 ten", expected, "WRITE", SHAPE)
@@ -42,7 +47,7 @@
         await execute(first, "save", "credit-2 twenty", expected, "WRITE", SHAPE)
         await execute(first, "look", "credit-1", expected, "READ", SHAPE)
         read = {}
-        for item in ("credit-1", "booking-7", "credit-2"):
+        for item in ("booking-6", "credit-1", "booking-7", "credit-2"):
             answer = await first.ask(f"READ {item}")
             read[item] = answer and answer.rows
         ran = {request: (request, *rest) for request, *rest in fleet.group.ran}
--- a/review/bed.py
+++ b/review/bed.py
@@ -8,6 +8,7 @@
 import asyncio
 import base64
 import contextlib
+import itertools
 import json
 import os
 import random
@@ -25,6 +26,7 @@
 ZONES = (("hobart-a", "hobart"), ("launceston-a", "launceston"), ("hobart-b", "hobart"))
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 LINE_LIMIT = 4 << 20
+CASE_LIMIT_S = 110
 PASSED_ENVIRONMENT = ("PATH", "HOME", "LANG")
 
 
@@ -56,12 +58,12 @@
     return text if len(text) < 200 else f"{text[:80]}... ({len(text)} characters)"
 
 
-def free_ports(count: int, host: str = "127.0.0.1") -> int:
-    """Return the first of `count` consecutive free ports."""
+def free_ports(count: int, hosts: list[str]) -> int:
+    """Return the first of `count` consecutive ports that are free on all addresses."""
     while True:
         first = random.randrange(20_000, 30_000)
         try:
-            for port in range(first, first + count):
+            for host, port in itertools.product(hosts, range(first, first + count)):
                 with socket.socket() as probe:
                     probe.bind((host, port))
         except OSError:
@@ -265,7 +267,7 @@
     @property
     def position(self) -> str:
         """Position of the newest entry of the log."""
-        return f"{self.log[-1][0] if self.log else self.group.first_term}.{len(self.log)}"
+        return f"{self.log[-1][0] if self.log else min(self.term, self.group.first_term)}.{len(self.log)}"
 
     async def start(self, host="127.0.0.1", port=0) -> None:
         """Listen for proxies."""
@@ -283,7 +285,7 @@
     async def restart(self, keeps_log: bool) -> None:
         """Start again at the same address under the same id."""
         if not keeps_log:
-            self.log, self.term = [], self.group.first_term
+            self.log, self.term = [], 0
         if self.group.term > self.term or self.role != "primary":
             self.role = "replica"
         self.held, self.down, self.born = 0, False, int(time.time() * 1000)
@@ -424,7 +426,8 @@
                 return self.fail("NOSUCHSTMT")
             word, shape = self.prepared[name]
             rest = " ".join([item, *data])
-        group.ran.append((request, word, shape, rest))
+        if word == "READ" or " " in rest:
+            group.ran.append((request, word, shape, rest))
         if word == "READ":
             if self.state == "T" and not self.read_only and instance.role != "primary":
                 return self.fail("READONLY")
@@ -433,7 +436,9 @@
         if word == "WRITE":
             if instance.role != "primary":
                 return self.fail("READONLY")
-            item, _, data = rest.partition(" ")
+            item, separator, data = rest.partition(" ")
+            if not separator:  # a write has data
+                return self.fail("MALFORMED")
             if self.state == "T":
                 self.writes.append((item, data))
                 return [signature]
@@ -564,6 +569,7 @@
         self.name = f"frontend-{self.zone}-{number // len(ZONES) + 1}"
         self.ip = f"127.0.{random.randrange(1, 250)}.{number + 1}"
         self.process = None
+        self.starting = None
         self.starts = 0
         self.exits: list = []
 
@@ -643,9 +649,13 @@
         environment["PYTHONPATH"] = str(ROOT / "target" / "deps")
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         log = (self.fleet.folder / f"{self.name}.log").open("ab")
-        self.process = await asyncio.create_subprocess_exec(
-            *COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
+        self.starting = asyncio.ensure_future(
+            asyncio.create_subprocess_exec(
+                *COMMAND, cwd=ROOT, env=environment, stdout=log, stderr=log
+            )
         )
+        # If the start is cancelled, the process exists all the same.
+        self.process = await asyncio.shield(self.starting)
         log.close()
         self.starts += 1
         self.fleet.record.add(self.name, "started, process", self.process.pid)
@@ -690,9 +700,9 @@
         self.folder = Path(self.temporary.name)
         self.store = Store(self.record)
         self.group = Group(self.record, self.store, max_conns=max_conns)
-        self.first_port = free_ports(20)
         self.bootstrap = True
         self.proxies = [Proxy(self, n) for n in range(size)]
+        self.first_port = free_ports(20, [proxy.ip for proxy in self.proxies])
         self.version = 10
         self.routes = {"shop": "primary", "browse": "bounded_staleness", "floor": "read_your_writes"}
         self.tasks: list = []
@@ -760,10 +770,13 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
         for proxy in self.proxies:
-            if proxy.process is not None and proxy.process.returncode is None:
-                proxy.process.send_signal(signal.SIGCONT)
-                proxy.process.kill()
-                await proxy.process.wait()
+            if proxy.starting is None:
+                continue
+            process = await proxy.starting
+            if process.returncode is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                await process.wait()
         if os.environ.get("KEEP"):
             for proxy in self.proxies:
                 Path(os.environ["KEEP"], f"{proxy.name}.log").write_text(proxy.log_text())
@@ -850,14 +863,29 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+async def _run(case, folder: Path) -> int:
+    """Run a case; a SIGTERM or SIGINT ends it, with all processes that it started."""
+    task = asyncio.create_task(case(folder))
+    ending = False
+
+    def end() -> None:
+        """Cancel the case once; `timeout` signals the process and its group."""
+        nonlocal ending
+        if not ending:
+            ending = True
+            task.cancel()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, end)
+    return await asyncio.wait_for(task, CASE_LIMIT_S)
+
+
 def run_case(file: str, case) -> None:
     """Run a case, a function of a folder that returns the exit status; exit with it."""
     folder = Path(file).resolve().parent
     try:
-        status = asyncio.run(asyncio.wait_for(case(folder), float(os.environ.get("LIMIT", 110))))
-    except Exception as error:  # whatever it is, the case has not been judged
+        status = asyncio.run(_run(case, folder))
+    except (Exception, asyncio.CancelledError) as error:  # the case has not been judged
         print(f"the case could not run: {error!r}")
-        if os.environ.get("KEEP"):
-            raise
         status = COULD_NOT_RUN
     sys.exit(status)
