Give prepared statements numbered names at endpoints

Cause: access and shape were the name of the statement at the endpoint. A name ends at the first blank of the line, and a shape may contain blanks.

Change: names are numbers of the connection; a statement is found by access and whole shape. Relays get access and shape with each execution, as before.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -22,6 +22,7 @@
 from rosemaryward.decisions.gateway.session_context import SessionContext
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
+    NamedStatement,
     Statement,
     StatementKind,
 )
@@ -435,7 +436,7 @@
         position_before = LogPosition()
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
-                name = await self.prepare(request.statement, session, pooled)
+                named = await self.prepare(request.statement, session, pooled)
                 self.check_still_primary(request.route.group, target)
                 sent = True
                 sent_at = self.clock()
@@ -448,7 +449,7 @@
                     session.sending(),
                 ):
                     answer = await pooled.execute(
-                        request.statement, name, target.min_position, admission
+                        request.statement, named, target.min_position, admission
                     )
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer within {attempt_s:.3f} s"
@@ -469,7 +470,7 @@
 
     async def prepare(
         self, statement: Statement, session: SessionContext, pooled: PooledConnection
-    ) -> str:
+    ) -> NamedStatement | None:
         """Set the session's context on the connection.
 
         Parameters
@@ -483,9 +484,8 @@
 
         Returns
         -------
-        str
-            Name at the endpoint of the prepared statement to execute, empty for other
-            kinds of statement.
+        NamedStatement or None
+            Prepared statement to execute, None for other kinds of statement.
 
         Raises
         ------
@@ -494,7 +494,7 @@
         """
         await pooled.set_session_values(session.values)
         if statement.kind is not StatementKind.EXECUTE:
-            return ""
+            return None
         return await pooled.prepare(session.prepared[statement.name])
 
     def track_write(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
@@ -8,6 +8,7 @@
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
     ControlStatement,
+    NamedStatement,
     PreparedStatement,
     Statement,
 )
@@ -27,7 +28,7 @@
     async def execute(
         self,
         statement: Statement,
-        prepared_name: str,
+        named: NamedStatement | None,
         min_position: LogPosition | None,
         admission: AdmissionParameters | None,
     ) -> Answer:
@@ -37,9 +38,8 @@
         ----------
         statement : Statement
             Statement to run.
-        prepared_name : str
-            Name at the endpoint of the prepared statement to execute, empty for other
-            kinds of statement.
+        named : NamedStatement, optional
+            Prepared statement to execute, None for other kinds of statement.
         min_position : LogPosition, optional
             Position that the endpoint must have applied.
         admission : AdmissionParameters, optional
@@ -114,8 +114,10 @@
     ----------
     values : dict of str to str
         Session values that are set at the endpoint.
-    prepared : set of str
+    prepared : dict of PreparedStatement to str
         Names of the statements that are prepared at the endpoint.
+    prepared_count : int
+        Number of names that were used since the connection was opened.
     broken : bool
         Whether the connection must be closed instead of reused.
     idle_since : float
@@ -127,6 +129,7 @@
         "connection",
         "idle_since",
         "prepared",
+        "prepared_count",
         "tenant",
         "values",
     )
@@ -135,20 +138,21 @@
         self.connection = connection
         self.tenant = tenant
         self.values: dict[str, str] = {}
-        self.prepared: set[str] = set()
+        self.prepared: dict[PreparedStatement, str] = {}
+        self.prepared_count = 0
         self.broken = False
         self.idle_since = 0.0
 
     async def execute(
         self,
         statement: Statement,
-        prepared_name: str,
+        named: NamedStatement | None,
         min_position: LogPosition | None = None,
         admission: AdmissionParameters | None = None,
     ) -> Answer:
         """Run a caller's statement; raises `UnansweredError` or `ConnectError`."""
         return await self._receive(
-            self.connection.execute(statement, prepared_name, min_position, admission)
+            self.connection.execute(statement, named, min_position, admission)
         )
 
     async def begin(
@@ -187,30 +191,33 @@
         if any(name not in values for name in self.values):
             await self._confirm(self.connection.reset())
             self.values = {}
-            self.prepared = set()
+            self.prepared = {}
         for name, value in values.items():
             if self.values.get(name) != value:
                 await self._confirm(self.connection.set_value(name, value))
                 self.values[name] = value
 
-    async def prepare(self, prepared: PreparedStatement) -> str:
+    async def prepare(self, prepared: PreparedStatement) -> NamedStatement:
         """Prepare a statement unless it is already prepared.
 
         Returns
         -------
-        str
-            Name of the prepared statement at the endpoint.
+        NamedStatement
+            The statement with its name at the endpoint.
 
         Raises
         ------
         UnansweredError
             If the endpoint does not confirm it; the connection is then unusable.
         """
-        name = f"{'w' if prepared.writes else 'r'}-{prepared.shape}"
-        if name not in self.prepared:
+        name = self.prepared.get(prepared)
+        if name is None:
+            # One word that says nothing about the shape, which may contain blanks.
+            self.prepared_count += 1
+            name = f"s{self.prepared_count}"
             await self._confirm(self.connection.prepare(name, prepared))
-            self.prepared.add(name)
-        return name
+            self.prepared[prepared] = name
+        return NamedStatement(name, prepared)
 
     async def _receive(self, answer: Awaitable[Answer]) -> Answer:
         """Await an answer; mark the connection broken unless it is complete."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/statements.py
@@ -8,6 +8,7 @@
     "AdmissionParameters",
     "ControlKind",
     "ControlStatement",
+    "NamedStatement",
     "PreparedStatement",
     "Statement",
     "StatementKind",
@@ -70,6 +71,21 @@
     shape: str
 
 
+class NamedStatement(msgspec.Struct, frozen=True):
+    """Statement that is prepared on a connection.
+
+    Parameters
+    ----------
+    name : str
+        Name at the endpoint.
+    prepared : PreparedStatement
+        Statement as the caller prepared it.
+    """
+
+    name: str
+    prepared: PreparedStatement
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """One statement of a caller.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -72,12 +72,10 @@
         self.state = IDLE
         self.closed = False
 
-    async def execute(
-        self, statement, prepared_name="", min_position=None, admission=None
-    ):
+    async def execute(self, statement, named=None, min_position=None, admission=None):
         text = statement.text
         if statement.kind is StatementKind.EXECUTE:
-            text = f"EXECUTE {prepared_name} {statement.argument}"
+            text = f"EXECUTE {named.name} {statement.argument}"
         return await self._query(statement.request_id, text, min_position)
 
     async def begin(self, read_only, min_position=None, admission=None):
@@ -152,7 +150,7 @@
             name, value = rest.split(" ", 1)
             self.values[name] = value
         else:
-            name, access, shape = rest.split(" ")
+            name, access, shape = rest.split(" ", 2)
             self.prepared[name] = (access, shape)
         return Answer([], "-", self.state, self.instance.position)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_session.py
@@ -179,8 +179,8 @@
     assert connection.values == {"zone": "north"}
     await harness.serve("PREPARE s READ q2", "EXECUTE s k")
     assert connection.values == {}
-    assert harness.primary.texts() == ["EXECUTE w-q1 k v", "EXECUTE r-q2 k"]
-    assert connection.prepared == {"r-q2": ("READ", "q2")}
+    assert harness.primary.texts() == ["EXECUTE s1 k v", "EXECUTE s2 k"]
+    assert connection.prepared == {"s2": ("READ", "q2")}
 
 
 @pytest.mark.parametrize(
@@ -223,8 +223,8 @@
         connection = await original(endpoint, tenant)
         execute = connection.execute
 
-        async def execute_and_change(statement, prepared_name, min_position, admission):
-            answer = await execute(statement, prepared_name, min_position, admission)
+        async def execute_and_change(statement, named, min_position, admission):
+            answer = await execute(statement, named, min_position, admission)
             harness.leadership.observe(GROUP, make_record(2, "i-2"), 9)
             return answer
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -174,7 +174,7 @@
         try:
             async with self._first_statement_slot(target, request):
                 with anyio.fail_after(remaining_s):
-                    name = await self.executor.prepare(statement, self.session, pooled)
+                    named = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
                     sent_at = self.executor.clock()
                     position_before = self.executor.newest_position(self.route.group)
@@ -186,7 +186,7 @@
                         self.executor.track_write(self.route.group, commits),
                         self.session.sending(),
                     ):
-                        answer = await pooled.execute(statement, name, None, admission)
+                        answer = await pooled.execute(statement, named, None, admission)
         except (OverloadError, ConnectError) as error:
             raise StatementFailedError(
                 Failure.ROLLED_BACK, f"rolled back: {error}", self.endpoint
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -20,6 +20,7 @@
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
     ControlStatement,
+    NamedStatement,
     PreparedStatement,
     Statement,
     StatementKind,
@@ -84,34 +85,31 @@
     ----------
     values : dict of str to str
         Session values, sent with each statement.
-    prepared : dict of str to PreparedStatement
-        Prepared statements by name, sent with each execution.
     link : RelayLink or None
         Link of the last statement or transaction.
     lease : int
         Lease of the open transaction's connection at the relay, 0 without one.
     """
 
-    __slots__ = ("connector", "endpoint", "lease", "link", "prepared", "values")
+    __slots__ = ("connector", "endpoint", "lease", "link", "values")
 
     def __init__(self, endpoint: Endpoint, connector: "RelayConnector") -> None:
         self.endpoint = endpoint
         self.connector = connector
         self.values: dict[str, str] = {}
-        self.prepared: dict[str, PreparedStatement] = {}
         self.link: RelayLink | None = None
         self.lease = 0
 
     async def execute(
         self,
         statement: Statement,
-        prepared_name: str,
+        named: NamedStatement | None,
         min_position: LogPosition | None,
         admission: AdmissionParameters | None,
     ) -> Answer:
         """Run a caller's statement; raises `ConnectError` if it was not sent."""
         assert admission is not None
-        prepared = self.prepared.get(prepared_name)
+        prepared = None if named is None else named.prepared
         if statement.kind is StatementKind.EXECUTE:
             # The relay builds the text with its own name of the prepared statement.
             statement = Statement(
@@ -161,14 +159,12 @@
         return self._local_answer()
 
     async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
-        """Prepare a statement, which is sent with each execution."""
-        self.prepared[name] = prepared
+        """Confirm a statement, which is sent with each execution."""
         return self._local_answer()
 
     async def reset(self) -> Answer:
         """Clear all session values and prepared statements."""
         self.values = {}
-        self.prepared = {}
         return self._local_answer()
 
     async def run_control(self, control: ControlStatement) -> Answer:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -459,15 +459,15 @@
         try:
             with anyio.fail_after(times.remaining_s(times.sent_at)):
                 await pooled.set_session_values(request.values)
-                name = ""
+                named = None
                 if request.prepared is not None:
-                    name = await pooled.prepare(request.prepared)
+                    named = await pooled.prepare(request.prepared)
                 replaced = self.service.check_epoch(pool, request.admission)
                 if replaced is not None:
                     return replaced
                 sent = True
                 times.sent_at = self.service.clock()
-                answer = await pooled.execute(request.statement, name, min_position)
+                answer = await pooled.execute(request.statement, named, min_position)
         except (UnansweredError, TimeoutError) as error:
             reason = _reason_of(error)
             pool.record_unanswered(times.sent_at, error, reason)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -59,7 +59,7 @@
     await harness.serve("SET zone north", "PREPARE s WRITE q2", "EXECUTE s k v")
     (connection,) = harness.relay.primary.connections
     assert connection.values == {"zone": "north"}
-    assert texts_at_relay(harness) == ["EXECUTE w-q2 k v"]
+    assert texts_at_relay(harness) == ["EXECUTE s1 k v"]
     await harness.serve("READ k")
     assert connection.values == {}
 
@@ -130,7 +130,7 @@
     pool = harness.pools.pool("i-1")
     connection = await pool.connector.connect(pool.endpoint)
     with pytest.raises(ConnectError) as refused:
-        await connection.execute(parse_statement("WRITE k v"), "", None, ADMISSION)
+        await connection.execute(parse_statement("WRITE k v"), None, None, ADMISSION)
     pool.record_refusal(refused.value)
     assert harness.relay.primary.connections == []
     assert pool.suspect
@@ -169,12 +169,12 @@
     connection = await harness.pools.pool("i-1").connector.connect(pool.endpoint)
     if failure is None:
         answer = await connection.execute(
-            parse_statement("WRITE k v"), "", None, ADMISSION
+            parse_statement("WRITE k v"), None, None, ADMISSION
         )
         assert answer.failure is None
         return
     with pytest.raises(ConnectError) as refused:
-        await connection.execute(parse_statement("WRITE k v"), "", None, ADMISSION)
+        await connection.execute(parse_statement("WRITE k v"), None, None, ADMISSION)
     assert refused.value.failure is failure
     assert harness.relay_selector.select_relay(pool.endpoint) is None
 
