Refuse statements that an endpoint cannot accept without avoiding the endpoint

What callers saw: one client's session value that the instance refuses, or its message that grows over 1 MiB by `SINCE` or a longer name, made the proxy avoid the instance for 0.5 s and more; other clients' statements were refused meanwhile. The client itself got no truthful "not run".

Change: ConnectError with MALFORMED or TOO_LARGE means that no other endpoint would run the statement; it is refused at once and the connection stays usable. After a refused context, and after an unknown prepared statement, the connection is reset before its next use. Reads that an endpoint calls malformed are not repeated elsewhere.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -16,6 +16,7 @@
 from rosemaryward.decisions.gateway.outcomes import (
     Answer,
     ConnectError,
+    ConnectionState,
     Failure,
     RelayRefusedError,
     UnansweredError,
@@ -403,13 +404,14 @@
     ) -> AsyncIterator[PooledConnection]:
         """Hold a connection inside a `with` block; raises `ConnectError`.
 
-        The connection is closed if the block raises.
+        The connection is closed if the block raises in a transaction, or before the
+        answer to a statement is complete.
         """
         pooled = await self.acquire(wait_s, ignore_cap, tenant)
         try:
             yield pooled
         except BaseException:
-            pooled.broken = True
+            pooled.broken |= pooled.state is not ConnectionState.IDLE
             raise
         finally:
             self.release(pooled)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -14,6 +14,7 @@
 from rosemaryward.decisions.gateway.environment import Route
 from rosemaryward.decisions.gateway.outcomes import (
     NOT_RUN,
+    UNRUNNABLE,
     Answer,
     ConnectError,
     Failure,
@@ -391,8 +392,28 @@
                 Failure.BUSY, f"not run: {error}", pool.endpoint.id
             ) from error
         except ConnectError as error:
-            pool.record_refusal(error)
-            raise RetryError(error.reason) from error
+            raise self.translate_refusal(error, pool) from error
+
+    def translate_refusal(self, error: ConnectError, pool: EndpointPool) -> Exception:
+        """Record that a statement was not sent, and return the error to raise.
+
+        Parameters
+        ----------
+        error : ConnectError
+            Why it was not sent.
+        pool : EndpointPool
+            Pool of the endpoint.
+
+        Returns
+        -------
+        RetryError or StatementFailedError
+        """
+        if error.failure in UNRUNNABLE:
+            return StatementFailedError(
+                Failure.BUSY, f"not run: {error.reason}", pool.endpoint.id
+            )
+        pool.record_refusal(error)
+        return RetryError(error.reason)
 
     async def execute(
         self,
@@ -420,6 +441,8 @@
 
         Raises
         ------
+        ConnectError
+            If the statement was not sent.
         RetryError
             If the attempt failed and the statement certainly did not run, or only
             reads.
@@ -490,7 +513,9 @@
         Raises
         ------
         UnansweredError
-            If the endpoint does not confirm the context.
+            If the endpoint does not answer.
+        ConnectError
+            If the endpoint refuses the context.
         """
         await pooled.set_session_values(session.values)
         if statement.kind is not StatementKind.EXECUTE:
@@ -543,7 +568,7 @@
             )
         if failure in NOT_RUN:
             raise RetryError(f"{failure.name}: {answer.reason}")
-        if not request.writes:
+        if not request.writes and failure not in UNRUNNABLE:
             raise RetryError(f"{failure.name}: {answer.reason}", self.clock())
         raise StatementFailedError(failure, answer.reason, endpoint)
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/outcomes.py
@@ -16,6 +16,7 @@
     "RelayRefusedError",
     "RelayUnavailableError",
     "Reply",
+    "UNRUNNABLE",
     "UnansweredError",
 ]
 
@@ -52,6 +53,10 @@
 """Failures by which an endpoint reports that the statement did not run."""
 
 
+UNRUNNABLE = frozenset({Failure.MALFORMED, Failure.TOO_LARGE})
+"""Failures for which no other endpoint would run the statement either."""
+
+
 class ConnectionState(Enum):
     """State of a connection between two statements."""
 
@@ -120,7 +125,7 @@
 
 
 class ConnectError(EndpointError):
-    """The statement did not reach the endpoint, so it certainly did not run.
+    """The statement was not sent to the endpoint, so it certainly did not run.
 
     Parameters
     ----------
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
@@ -4,7 +4,13 @@
 from typing import Protocol
 
 from rosemaryward.decisions.gateway.environment import Endpoint
-from rosemaryward.decisions.gateway.outcomes import Answer, UnansweredError
+from rosemaryward.decisions.gateway.outcomes import (
+    UNRUNNABLE,
+    Answer,
+    ConnectError,
+    ConnectionState,
+    Failure,
+)
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
     ControlStatement,
@@ -21,8 +27,8 @@
     """Open connection to an endpoint, which runs one statement at a time.
 
     Every method except `aclose` raises `UnansweredError` if no complete answer
-    arrives. A connection through a relay also raises `ConnectError` if the statement
-    was certainly not run.
+    arrives, and `ConnectError` if the statement was certainly not run. If the failure
+    is one of `UNRUNNABLE`, the connection stays usable.
     """
 
     async def execute(
@@ -118,6 +124,10 @@
         Names of the statements that are prepared at the endpoint.
     prepared_count : int
         Number of names that were used since the connection was opened.
+    state : ConnectionState
+        State after the last answer.
+    must_reset : bool
+        Whether the session context at the endpoint is not known.
     broken : bool
         Whether the connection must be closed instead of reused.
     idle_since : float
@@ -128,8 +138,10 @@
         "broken",
         "connection",
         "idle_since",
+        "must_reset",
         "prepared",
         "prepared_count",
+        "state",
         "tenant",
         "values",
     )
@@ -140,6 +152,8 @@
         self.values: dict[str, str] = {}
         self.prepared: dict[PreparedStatement, str] = {}
         self.prepared_count = 0
+        self.state = ConnectionState.IDLE
+        self.must_reset = False
         self.broken = False
         self.idle_since = 0.0
 
@@ -151,9 +165,11 @@
         admission: AdmissionParameters | None = None,
     ) -> Answer:
         """Run a caller's statement; raises `UnansweredError` or `ConnectError`."""
-        return await self._receive(
+        answer = await self._receive(
             self.connection.execute(statement, named, min_position, admission)
         )
+        self.must_reset |= answer.failure is Failure.UNKNOWN_STATEMENT
+        return answer
 
     async def begin(
         self,
@@ -186,12 +202,15 @@
         Raises
         ------
         UnansweredError
-            If the endpoint does not confirm a value; the connection is then unusable.
+            If the endpoint does not answer; the connection is then unusable.
+        ConnectError
+            If the endpoint refuses a value, so that no statement may run.
         """
-        if any(name not in values for name in self.values):
+        if self.must_reset or any(name not in values for name in self.values):
             await self._confirm(self.connection.reset())
             self.values = {}
             self.prepared = {}
+            self.must_reset = False
         for name, value in values.items():
             if self.values.get(name) != value:
                 await self._confirm(self.connection.set_value(name, value))
@@ -208,7 +227,9 @@
         Raises
         ------
         UnansweredError
-            If the endpoint does not confirm it; the connection is then unusable.
+            If the endpoint does not answer; the connection is then unusable.
+        ConnectError
+            If the endpoint refuses the statement.
         """
         name = self.prepared.get(prepared)
         if name is None:
@@ -220,17 +241,23 @@
         return NamedStatement(name, prepared)
 
     async def _receive(self, answer: Awaitable[Answer]) -> Answer:
-        """Await an answer; mark the connection broken unless it is complete."""
+        """Await an answer; mark the connection broken unless it stays usable."""
         self.broken = True
-        received = await answer
+        try:
+            received = await answer
+        except ConnectError as error:
+            self.broken = error.failure not in UNRUNNABLE
+            raise
         self.broken = False
+        self.state = received.state
         return received
 
     async def _confirm(self, answer: Awaitable[Answer]) -> None:
-        """Await an answer; raises `UnansweredError` if it reports a failure."""
+        """Await an answer; raises `ConnectError` if it reports a failure."""
         received = await self._receive(answer)
         if received.failure is not None:
-            self.broken = True
-            raise UnansweredError(
-                f"endpoint refused the session context: {received.reason}"
+            self.must_reset = True
+            raise ConnectError(
+                received.failure,
+                f"endpoint refused the session context: {received.reason}",
             )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -283,9 +283,8 @@
             pool.release(pooled)
             raise RetryError(reason) from error
         except ConnectError as error:
-            pool.record_refusal(error)
             pool.release(pooled)
-            raise RetryError(error.reason) from error
+            raise self.executor.translate_refusal(error, pool) from error
         except BaseException:
             pool.release(pooled)
             raise
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -145,7 +145,11 @@
             self.endpoint.id, lease, read_only, self.values, min_position, admission
         )
         self.lease = lease
-        return await self._request(request)
+        try:
+            return await self._request(request)
+        except RelayRefusedError:
+            self.lease = 0
+            raise
 
     async def roll_back(self) -> Answer:
         """Roll back the open transaction."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -393,6 +393,9 @@
             pool.record_unanswered(times.sent_at, error, reason)
             pool.release(pooled)
             return Unanswered(reason)
+        except ConnectError as error:
+            pool.release(pooled)
+            return Refused(error.failure, error.reason)
         except BaseException:
             pool.release(pooled)
             raise
@@ -472,6 +475,8 @@
             reason = _reason_of(error)
             pool.record_unanswered(times.sent_at, error, reason)
             return Unanswered(reason) if sent else Refused(Failure.BUSY, reason)
+        except ConnectError as error:
+            return Refused(error.failure, error.reason)
         return self.service.make_reply(pool, request.admission, times, answer)
 
     def _request_times(self, admission: AdmissionParameters) -> _RequestTimes:
