Quote the group in the keys of fence reports

Cause: the key is prefix, group, epoch and member, joined with slashes, so the reports on group `orders/1` and epoch 2 begin with the prefix of group `orders` and epoch 1. They would confirm a fence that no member has confirmed, which may lose acknowledged writes.

Evidence: test_groups_whose_names_contain_the_separator_have_their_own_reports failed before.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fence_reports.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from urllib.parse import quote
 
 import anyio
 import msgspec
@@ -51,7 +52,7 @@
     store : LeaseStore
         Store that holds the reports.
     prefix : str
-        Prefix of the keys; group, epoch and the member's name follow.
+        Prefix of the keys; quoted group, epoch and the member's name follow.
     """
 
     def __init__(self, store: LeaseStore, prefix: str) -> None:
@@ -97,7 +98,7 @@
         return replies
 
     def _prefix_of(self, request: FenceRequest) -> str:
-        return f"{self.prefix}{request.group}/{request.epoch}/"
+        return f"{self.prefix}{quote(request.group, safe='')}/{request.epoch}/"
 
 
 class FenceReporter:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_fence_reports.py
@@ -148,6 +148,15 @@
     assert anyio.current_time() - started_at >= 0.9
 
 
+async def test_groups_whose_names_contain_the_separator_have_their_own_reports():
+    """Guards against a fence that counts as confirmed by reports on another group."""
+    reports = FenceReports(MemoryStore(), "fences/")
+    reply = FenceReply("inc-proxy-2", LogPosition())
+    await reports.write(FenceRequest("orders/1", 2), "proxy-2", [reply])
+    assert await reports.read(FenceRequest("orders", 1)) == []
+    assert await reports.read(FenceRequest("orders/1", 2)) == [reply]
+
+
 async def test_unreadable_report_is_passed_over():
     """Guards against a foreign value that ends a change of primary."""
     store = MemoryStore()
