Quote the parameters of prepared statements on the MySQL side

What callers saw: the value of a parameter that contains a quote changed the statement that ran, up to SQL of its own; a second parameter could take the place of text in the first.

Cause: the library puts values into the text without escaping, one after the other, and finds the next question mark by counting quotes, those of values and comments included.

Evidence: test_text_of_a_parameter_does_not_change_the_statement failed before with `VALUES ('it's " ?', 'it''s ?', 'a', 'b')`.

Change: the proxy finds the parameters and replaces all of them in one step by quoted literals. The quoting of request keys is now shared with it.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/session.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/session.py
@@ -1,14 +1,22 @@
 """Session of one caller connection: passes MySQL commands to the entry service."""
 
+import contextlib
+from collections.abc import Iterator
 from typing import Any, Protocol
 
 from mysql_mimic.connection import Connection
 from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.results import ResultSet
 from mysql_mimic.session import Session
 from sqlglot import exp
 
 from rosemaryward.callers.errors import memory_error, shutdown_error, to_mysql_error
+from rosemaryward.callers.parameters import (
+    bind_parameters,
+    find_placeholders,
+    read_parameters,
+)
 from rosemaryward.callers.results import to_result_set
 from rosemaryward.decisions.clients import ClientState
 from rosemaryward.decisions.errors import OverloadError, RosemarywardError
@@ -33,6 +41,7 @@
 MAX_KEPT_BYTES = 64 * 1024 * 1024
 """Prepared statements and parameters of one connection: four of the longest packets."""
 PREPARED_OVERHEAD_BYTES = 500
+STATEMENT_ID_BYTES = 4
 TOKEN_QUERY = f"select @{ATTRIBUTE_PREFIX}token"
 
 
@@ -241,12 +250,34 @@
             return
         await super().handle_stmt_send_long_data(data)
 
+    def com_stmt_prepare_response(
+        self, statement: PreparedStatement
+    ) -> Iterator[bytes]:
+        """Return the reply that tells the number of parameters."""
+        statement.num_params = len(find_placeholders(statement.sql))
+        return super().com_stmt_prepare_response(statement)
+
     async def handle_stmt_execute(self, data: bytes) -> None:
         """Run a prepared statement, which releases its parameters."""
-        await super().handle_stmt_execute(data)
+        statement = self.get_stmt(int.from_bytes(data[:STATEMENT_ID_BYTES], "little"))
+        with self._bound(statement, data):
+            await super().handle_stmt_execute(data)
         if self.long_data_bytes:
             self._keep(self.prepared_bytes, self._count_long_data())
 
+    @contextlib.contextmanager
+    def _bound(self, statement: PreparedStatement, data: bytes) -> Iterator[None]:
+        """Replace the parameters of a statement by literals while it is executed."""
+        sql, count = statement.sql, statement.num_params
+        values = read_parameters(
+            data, statement, self.capabilities, self.client_charset
+        )
+        statement.sql, statement.num_params = bind_parameters(sql, values), 0
+        try:
+            yield
+        finally:
+            statement.sql, statement.num_params = sql, count
+
     def _count_long_data(self) -> int:
         buffers = (x.param_buffers or {} for x in self.prepared_stmts.values())
         return sum(len(part) for buffer in buffers for part in buffer.values())
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/request_keys.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/request_keys.py
@@ -7,6 +7,7 @@
 from rosemaryward.decisions.errors import OutcomeUnknownError, StatementError
 from rosemaryward.decisions.interfaces import StatementConnection
 from rosemaryward.decisions.messages import StatementResult
+from rosemaryward.decisions.routing.literals import quote_text
 
 __all__ = ["ROLLBACK_ERROR_CODES", "execute_once", "insert_request_key"]
 
@@ -52,7 +53,7 @@
         await connection.execute(
             f"UPDATE {REQUEST_TABLE} SET affected_rows = {done.affected_rows}, "
             f"last_insert_id = {done.last_insert_id} "
-            f"WHERE request_key = {_quote(request_key)}",
+            f"WHERE request_key = {quote_text(request_key)}",
             timeout_s,
         )
     except StatementError:
@@ -79,7 +80,7 @@
     """
     insert = (
         f"INSERT INTO {REQUEST_TABLE} (request_key, affected_rows, last_insert_id) "
-        f"VALUES ({_quote(request_key)}, 0, 0)"
+        f"VALUES ({quote_text(request_key)}, 0, 0)"
     )
     try:
         await connection.execute(insert, timeout_s)
@@ -101,7 +102,7 @@
 ) -> StatementResult:
     done = await connection.execute(
         f"SELECT affected_rows, last_insert_id FROM {REQUEST_TABLE} "
-        f"WHERE request_key = {_quote(request_key)}",
+        f"WHERE request_key = {quote_text(request_key)}",
         timeout_s,
     )
     if not done.rows:
@@ -112,8 +113,3 @@
     return StatementResult(
         affected_rows=int(affected_rows or 0), last_insert_id=int(insert_id or 0)
     )
-
-
-def _quote(text: str) -> str:
-    escaped = text.replace("\\", "\\\\").replace("'", "''")
-    return f"'{escaped}'"
