End a connection and not the process on an unexpected error

Cause: the event loop closes such a connection before its task runs, and raises RuntimeError at the first use. The error left the task groups of the server and of the process.

Evidence: test_connections_that_are_reset_at_once resets 200 connections at each address of real processes.

FailureLog is shared by all.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/crowd.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/crowd.py
@@ -3,14 +3,17 @@
 import asyncio
 import contextlib
 import os
+import socket
+import struct
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
-__all__ = ["Crowd", "ProcessMonitor"]
+__all__ = ["Crowd", "ProcessMonitor", "reset_connections"]
 
 HOST = "127.0.0.1"
 SAMPLE_INTERVAL_S = 0.05
 RESET_PEAK = "5"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # linger for no time
 KIB_PER_MIB = 1024
 REFUSALS = (OSError, asyncio.IncompleteReadError)
 """A proxy may refuse or close a connection of a crowd at any time."""
@@ -119,6 +122,26 @@
         await self.run_all(receive, 1.0)
 
 
+async def reset_connections(port: int, count: int, data: bytes = b"") -> None:
+    """Open connections one after the other and reset each at once.
+
+    Parameters
+    ----------
+    port : int
+        Port on loopback.
+    count : int
+        Number of connections.
+    data : bytes
+        Sent before the reset.
+    """
+    for _ in range(count):
+        with contextlib.suppress(OSError), socket.socket() as client:
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            client.connect((HOST, port))
+            client.send(data)
+        await asyncio.sleep(0)
+
+
 class ProcessMonitor:
     """Highest memory and number of descriptors of a process while its context is open.
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/support.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/support.py
@@ -1,9 +1,11 @@
 import fcntl
 from contextlib import contextmanager
 
+import pytest
 from anyio.from_thread import start_blocking_portal
 
 MIB = 1 << 20
+RESET_DATA = [pytest.param(b"", id="silent"), pytest.param(b"G", id="first-byte")]
 
 
 @contextmanager
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/test_mysql_clients.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/test_mysql_clients.py
@@ -12,10 +12,16 @@
 import httpx
 import pytest
 
-from rosemaryward.bench.client_limits.crowd import REFUSALS, Crowd, ProcessMonitor
+from rosemaryward.bench.client_limits.crowd import (
+    REFUSALS,
+    Crowd,
+    ProcessMonitor,
+    reset_connections,
+)
 from rosemaryward.bench.client_limits.mysql import command, login, packet, read_packet
 from rosemaryward.bench.client_limits.tests.support import (
     MIB,
+    RESET_DATA,
     check_bounds,
     exclusive,
     in_background,
@@ -185,6 +191,14 @@
         await check_service(proxy)
 
 
+@pytest.mark.parametrize("data", RESET_DATA)
+@pytest.mark.parametrize("name", ["mysql", "admin", "statement", "gossip"])
+async def test_connections_that_are_reset_at_once(proxy, name, data):
+    """Guards against a process that ends by the reset of a connection."""
+    await reset_connections(port_of(proxy, name), 200, data)
+    await check_service(proxy)
+
+
 async def test_silent_crowd_at_the_gossip_address(proxy):
     async with Crowd(port_of(proxy, "gossip"), 600):
         await anyio.sleep(0.5)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/test_platform_clients.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/client_limits/tests/test_platform_clients.py
@@ -12,9 +12,14 @@
 import msgspec
 import pytest
 
-from rosemaryward.bench.client_limits.crowd import Crowd, ProcessMonitor
+from rosemaryward.bench.client_limits.crowd import (
+    Crowd,
+    ProcessMonitor,
+    reset_connections,
+)
 from rosemaryward.bench.client_limits.tests.support import (
     MIB,
+    RESET_DATA,
     check_bounds,
     exclusive,
     in_background,
@@ -230,6 +235,16 @@
         await check_service(proxy)
 
 
+@pytest.mark.parametrize("data", RESET_DATA)
+@pytest.mark.parametrize(
+    "port", [0, READINESS_PORT, METRICS_PORT, CONTROL_PORT, RELAY_PORT]
+)
+async def test_connections_that_are_reset_at_once(proxy, port, data):
+    """Guards against a process that ends by the reset of a connection."""
+    await reset_connections(proxy.ports[port], 200, data)
+    await check_service(proxy)
+
+
 async def test_http_requests_ahead_without_reading(proxy):
     requests = b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" * 10_000
     async with (
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/clients/__init__.py
@@ -1,6 +1,7 @@
 """Limits on the connections and the memory of clients, without I/O."""
 
 from rosemaryward.decisions.clients.enforcement import enforce_limits
+from rosemaryward.decisions.clients.failures import FailureLog, contain_failures
 from rosemaryward.decisions.clients.limits import (
     ALLOWANCE_BYTES,
     DEFAULT_LIMITS,
@@ -19,7 +20,9 @@
     "ClientLimits",
     "ClientState",
     "ClientTable",
+    "FailureLog",
     "ProcessLimits",
+    "contain_failures",
     "derive_limits",
     "enforce_limits",
 ]
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/clients.py
@@ -6,7 +6,6 @@
 from functools import partial
 
 import anyio
-import structlog
 from anyio import TypedAttributeProvider
 from anyio.abc import SocketAttribute
 
@@ -16,7 +15,6 @@
     ClientState,
     ClientTable,
 )
-from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.peers.frames import FrameReader
 from rosemaryward.peers.send_queue import SendQueue
@@ -24,7 +22,6 @@
 __all__ = [
     "BUSY_REASON",
     "ConnectionMemory",
-    "FailureLog",
     "admitted",
     "bound_receive_buffers",
 ]
@@ -32,11 +29,8 @@
 RECEIVE_BUFFER_BYTES = 64 * 1024
 """Receive buffer of each connection, which the system doubles. The event loop reads
 all that has arrived before a connection can stop it."""
-LOG_INTERVAL_S = 1.0
 BUSY_REASON = "the memory for requests of other proxies is in use"
 
-log = structlog.get_logger(__name__)
-
 
 def bound_receive_buffers(listener: TypedAttributeProvider) -> None:
     """Give the connections that a listener accepts small receive buffers."""
@@ -45,32 +39,6 @@
     )
 
 
-class FailureLog:
-    """Logs failed connections, at most one line a second.
-
-    Attributes
-    ----------
-    suppressed : int
-        Failures since the last line.
-    """
-
-    __slots__ = ("logged_at", "suppressed")
-
-    def __init__(self) -> None:
-        self.logged_at = float("-inf")
-        self.suppressed = 0
-
-    def record(self, event: str, error: BaseException) -> None:
-        """Log a failure unless a line was written within the last second."""
-        now = boot_time_s()
-        if now - self.logged_at < LOG_INTERVAL_S:
-            self.suppressed += 1
-            return
-        log.info(event, error=repr(error), suppressed=self.suppressed)
-        self.logged_at = now
-        self.suppressed = 0
-
-
 @contextmanager
 def admitted(clients: ClientTable) -> Iterator[Client]:
     """Count a connection while the context is open.
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -18,6 +18,7 @@
     ClientLimits,
     ClientState,
     ClientTable,
+    FailureLog,
     enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
@@ -38,11 +39,7 @@
 )
 from rosemaryward.decisions.links import compress_if_smaller, decompress
 from rosemaryward.decisions.mirror import ChangesReply, ChangesRequest
-from rosemaryward.peers.clients import (
-    FailureLog,
-    admitted,
-    bound_receive_buffers,
-)
+from rosemaryward.peers.clients import admitted, bound_receive_buffers
 
 __all__ = ["MemberClient", "MemberServer", "MemberReply", "MemberRequest"]
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/multiplex.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/multiplex.py
@@ -16,6 +16,13 @@
 
 __all__ = ["RECEIVE_BYTES", "MultiplexedConnection"]
 
+CONNECTION_ERRORS = (
+    anyio.BrokenResourceError,
+    anyio.EndOfStream,
+    OSError,
+    PeerError,
+    RuntimeError,  # of the event loop, for a connection that it has closed
+)
 RECEIVE_BYTES = 64 * 1024
 
 ReplyT = TypeVar("ReplyT")
@@ -91,7 +98,7 @@
                 group.start_soon(self.send_queue.run)
                 await self._read()
                 group.cancel_scope.cancel()
-        except* (anyio.BrokenResourceError, anyio.EndOfStream, OSError, PeerError) as e:
+        except* CONNECTION_ERRORS as e:
             reason = str(e.exceptions[0]) or type(e.exceptions[0]).__name__
         finally:
             self.fail(reason)
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -18,6 +18,8 @@
     ClientLimits,
     ClientState,
     ClientTable,
+    FailureLog,
+    contain_failures,
     enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
@@ -43,7 +45,6 @@
 from rosemaryward.peers.clients import (
     BUSY_REASON,
     ConnectionMemory,
-    FailureLog,
     admitted,
     bound_receive_buffers,
 )
@@ -292,7 +293,7 @@
         bound_receive_buffers(listener)
         async with listener, anyio.create_task_group() as self.task_group:
             self.task_group.start_soon(enforce_limits, self.clients, "relays")
-            await listener.serve(self._serve)
+            await listener.serve(contain_failures(self._serve))
 
     def leave(self) -> None:
         """Refuse new statements and notify the connected proxies."""
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -20,6 +20,7 @@
     ClientLimits,
     ClientState,
     ClientTable,
+    contain_failures,
     enforce_limits,
 )
 from rosemaryward.decisions.clock import boot_time_s
@@ -236,11 +237,12 @@
         self.task_group = anyio.create_task_group()
         await self.task_group.__aenter__()
         self.task_group.start_soon(enforce_limits, self.clients, "statements")
+        serve = contain_failures(self._serve)
         if self.tls is not None:
             tls_listener = TLSListener(listener, self.tls, standard_compatible=False)
-            self.task_group.start_soon(tls_listener.serve, self._serve)
+            self.task_group.start_soon(tls_listener.serve, serve)
         else:
-            self.task_group.start_soon(listener.serve, self._serve)
+            self.task_group.start_soon(listener.serve, serve)
         return self
 
     async def __aexit__(
