Bound the statements that are prepared on a connection

Cause: a pooled connection kept every statement ever prepared on it, with its shape, and the values of its last session; connections through a relay did the same. No limit counted them.

Change: a connection keeps digests of at most 512 statements with 2 MiB of shapes and deallocates the least recently used one before it prepares another, so no client is refused. Values above 16 KiB are dropped when a connection is idle. The parser of the tests takes the last field to the end of the line, as the adapter does.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/connections.py
@@ -385,6 +385,10 @@
 
     def release(self, pooled: PooledConnection) -> None:
         """Return a connection to the pool, or close it if it is unusable."""
+        if pooled.holds_long_values():
+            pooled.forget_values()
+            # Opening a relayed connection costs nothing, and an open one keeps values.
+            pooled.broken |= self.relayed
         if pooled.broken or self.closed:
             self.open_count -= 1
             self.connector.discard(pooled.connection)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/pooled_connection.py
@@ -11,6 +11,7 @@
     ConnectionState,
     Failure,
 )
+from rosemaryward.decisions.gateway.prepared_names import PreparedNames
 from rosemaryward.decisions.gateway.statements import (
     AdmissionParameters,
     ControlStatement,
@@ -23,6 +24,9 @@
 __all__ = ["Connection", "Connector", "PooledConnection"]
 
 
+MAX_IDLE_VALUES_BYTES = 16 * 1024
+
+
 class Connection(Protocol):
     """Open connection to an endpoint, which runs one statement at a time.
 
@@ -73,6 +77,9 @@
     async def prepare(self, name: str, prepared: PreparedStatement) -> Answer:
         """Prepare a statement under a name."""
 
+    async def deallocate(self, name: str) -> Answer:
+        """Forget the prepared statement of a name."""
+
     async def reset(self) -> Answer:
         """Clear all session values and prepared statements."""
 
@@ -120,10 +127,8 @@
     ----------
     values : dict of str to str
         Session values that are set at the endpoint.
-    prepared : dict of PreparedStatement to str
-        Names of the statements that are prepared at the endpoint.
-    prepared_count : int
-        Number of names that were used since the connection was opened.
+    prepared : PreparedNames
+        Statements that are prepared at the endpoint.
     state : ConnectionState
         State after the last answer.
     must_reset : bool
@@ -140,7 +145,6 @@
         "idle_since",
         "must_reset",
         "prepared",
-        "prepared_count",
         "state",
         "tenant",
         "values",
@@ -150,8 +154,7 @@
         self.connection = connection
         self.tenant = tenant
         self.values: dict[str, str] = {}
-        self.prepared: dict[PreparedStatement, str] = {}
-        self.prepared_count = 0
+        self.prepared = PreparedNames()
         self.state = ConnectionState.IDLE
         self.must_reset = False
         self.broken = False
@@ -209,7 +212,7 @@
         if self.must_reset or any(name not in values for name in self.values):
             await self._confirm(self.connection.reset())
             self.values = {}
-            self.prepared = {}
+            self.prepared.clear()
             self.must_reset = False
         for name, value in values.items():
             if self.values.get(name) != value:
@@ -231,15 +234,25 @@
         ConnectError
             If the endpoint refuses the statement.
         """
-        name = self.prepared.get(prepared)
+        name = self.prepared.find(prepared)
         if name is None:
-            # One word that says nothing about the shape, which may contain blanks.
-            self.prepared_count += 1
-            name = f"s{self.prepared_count}"
+            while (evicted := self.prepared.evict_for(prepared)) is not None:
+                await self._confirm(self.connection.deallocate(evicted))
+            name = self.prepared.next_name()
             await self._confirm(self.connection.prepare(name, prepared))
-            self.prepared[prepared] = name
+            self.prepared.add(name, prepared)
         return NamedStatement(name, prepared)
 
+    def holds_long_values(self) -> bool:
+        """Return whether the session values are too long for an idle connection."""
+        size = sum(len(name) + len(value) for name, value in self.values.items())
+        return size > MAX_IDLE_VALUES_BYTES
+
+    def forget_values(self) -> None:
+        """Drop the session values, which are reset at the next use."""
+        self.values = {}
+        self.must_reset = True
+
     async def _receive(self, answer: Awaitable[Answer]) -> Answer:
         """Await an answer; mark the connection broken unless it stays usable."""
         self.broken = True
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -93,6 +93,9 @@
         access = "WRITE" if prepared.writes else "READ"
         return await self._query("-", f"PREPARE {name} {access} {prepared.shape}")
 
+    async def deallocate(self, name):
+        return await self._query("-", f"DEALLOCATE {name}")
+
     async def reset(self):
         return await self._query("-", "RESET")
 
@@ -107,7 +110,7 @@
         if self.closed:
             raise UnansweredError("closed")
         word = text.split()[0]
-        if word in ("SET", "RESET", "PREPARE"):
+        if word in ("SET", "RESET", "PREPARE", "DEALLOCATE"):
             return self._context(text)
         if instance.failures:
             failure = instance.failures.pop(0)
@@ -149,6 +152,8 @@
         elif word == "SET":
             name, value = rest.split(" ", 1)
             self.values[name] = value
+        elif word == "DEALLOCATE":
+            del self.prepared[rest]
         else:
             name, access, shape = rest.split(" ", 2)
             self.prepared[name] = (access, shape)
@@ -320,11 +325,13 @@
     if text in kinds:
         return Statement(request_id, kinds[text], text)
     if words[0] == "SET":
-        return Statement(request_id, StatementKind.SET_VALUE, text, words[1], words[2])
+        _, name, value = text.split(" ", 2)
+        return Statement(request_id, StatementKind.SET_VALUE, text, name, value)
     if words[0] == "PREPARE":
-        prepared = PreparedStatement(words[2] == "WRITE", words[3])
+        _, name, access, shape = text.split(" ", 3)
+        prepared = PreparedStatement(access == "WRITE", shape)
         return Statement(
-            request_id, StatementKind.PREPARE, text, words[1], prepared=prepared
+            request_id, StatementKind.PREPARE, text, name, prepared=prepared
         )
     if words[0] == "EXECUTE":
         argument = " ".join(words[2:])
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/connections.py
@@ -166,6 +166,10 @@
         """Confirm a statement, which is sent with each execution."""
         return self._local_answer()
 
+    async def deallocate(self, name: str) -> Answer:
+        """Confirm that a statement is no longer sent."""
+        return self._local_answer()
+
     async def reset(self) -> Answer:
         """Clear all session values and prepared statements."""
         self.values = {}
