Escape the values of metric labels

Cause: the library puts label values into the lines as they are. The name of a tenant or of a database that contains a quote, a backslash or a line end made the metrics unreadable or added lines to them.

Evidence: test_name_of_a_tenant_does_not_change_other_lines failed before.

Change: values are escaped as the exposition format asks.

--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -47,6 +47,11 @@
     return value if value in accepted else OTHER_LABEL
 
 
+def _escape_label(value: str) -> str:
+    """Return a label value in the exposition format, which the library does not."""
+    return value.replace("\\", r"\\").replace('"', r"\"").replace("\n", r"\n")
+
+
 def _rank_label(rank: int) -> str:
     return RANKS[rank] if 0 <= rank < len(RANKS) else OTHER_LABEL
 
@@ -57,7 +62,7 @@
     __slots__ = ("labels", "outcomes", "queue_time", "service_time")
 
     def __init__(self, tenant: str, rank: str) -> None:
-        self.labels = {"tenant": tenant, "rank": rank}
+        self.labels = {"tenant": _escape_label(tenant), "rank": rank}
         self.queue_time = Observations(*TIME_BUCKETS_S)
         self.service_time = Observations(*TIME_BUCKETS_S)
         self.outcomes: dict[str, int] = {}
@@ -78,7 +83,7 @@
 
     def __init__(self, host_id: str = "") -> None:
         self.registry = Registry()
-        self.labels = {"host": host_id} if host_id else {}
+        self.labels = {"host": _escape_label(host_id)} if host_id else {}
         self.tenants: set[str] = set()
         self._series: dict[tuple[str, int], _Series] = {}
         self._reads: dict[tuple[str, bool], int] = {}
@@ -269,7 +274,7 @@
         shown[OTHER_LABEL] = shown.get(OTHER_LABEL, 0) + rest
         self.tenant_operations.values.clear()
         for name, count in shown.items():
-            self.tenant_operations.set({"tenant": name}, count)
+            self.tenant_operations.set({"tenant": _escape_label(name)}, count)
 
     def set_tenant_refusals(self, counts: Mapping[str, int]) -> None:
         """Set the number of refused callers and operations of tenants, by cause."""
@@ -318,4 +323,4 @@
                 self.outcomes.set(series.labels | {"outcome": outcome}, count)
         for (tenant, from_replica), count in self._reads.items():
             role = "replica" if from_replica else "primary"
-            self.reads.set({"tenant": tenant, "role": role}, count)
+            self.reads.set({"tenant": _escape_label(tenant), "role": role}, count)
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/tests/test_metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/tests/test_metrics.py
@@ -44,6 +44,18 @@
     assert len(metrics._series) <= 4 * (TENANT_LIMIT + 1)
 
 
+def test_name_of_a_tenant_does_not_change_other_lines():
+    """Guards against metrics that cannot be read because of one name."""
+    metrics = ProxyMetrics("h1")
+    name = 'a"\n# b\\'
+    metrics.set_tenants([name])
+    metrics.record_outcome(name, 0, "done")
+    metrics.record_read(name, False)
+    text = metrics.render()[0].decode()
+    assert text.count(r'tenant="a\"\n# b\\"') == 2
+    assert not [line for line in text.splitlines() if line.startswith("# b")]
+
+
 def test_values():
     """Guards against counts under wrong labels and histograms without counts."""
     metrics = ProxyMetrics("h1")
