Let a new process take the failover lock once all members know of it

What callers saw: after a rolling restart a leaving primary kept getting work until it ended, up to 8 s longer than drain_ms allows (review/10: DRAIN).

Cause: a process waits 10 s after its registration before it acquires the lock, because a member that is cut off from the store could rely on nobody unknown to it changing a primary. After a rolling restart all processes are that young, and nobody acts.

Change: a new process asks every registered proxy what its last read of the store showed. If all saw it, no member can confirm a primary without asking it, and it need not wait. With an absent or silent proxy, after a restore, and in large fleets it waits as before.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -158,6 +158,28 @@
         answered = {reply.incarnation for reply in replies}
         return all(member.incarnation in answered for member in others)
 
+    async def is_known_to_members(self) -> bool:
+        """Return whether no member can confirm the primaries without this process.
+
+        A member does so for `MAX_BRIDGED_OUTAGE_S` after its last read of the store, by
+        asking the members that the read showed. In a large fleet, those that do not
+        read the store cannot answer for themselves.
+        """
+        live = self.directory.live_members()
+        if not all_members_read_store(live) or not self.directory.are_all_known():
+            return False
+        if not self._contains(self.members, self.incarnation):
+            return False
+        registered = {*self.members, *self.directory.members.values()}
+        others = [m for m in registered if m.incarnation != self.incarnation]
+        known = {
+            reply.incarnation
+            for reply in await self._ask(others)
+            if reply.registered
+            and generation_of(reply.revision) == generation_of(self.revision)
+        }
+        return known.issuperset(member.incarnation for member in others)
+
     def reply(self, request: ConfirmationRequest) -> ConfirmationReply:
         """Return what the store last confirmed to this process."""
         leadership = self.leadership
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -35,6 +35,10 @@
 log = structlog.get_logger(__name__)
 
 
+async def _return_false() -> bool:
+    return False
+
+
 class LockRecord(msgspec.Struct, frozen=True):
     """Holder of the failover lock, as stored.
 
@@ -114,6 +118,9 @@
         Whether this process has released the lock and does not acquire it again.
     wait_until_stopped : callable
         Waits until nothing runs that this process has begun under the lock.
+    is_known_to_members : callable
+        Returns whether no member can confirm the primaries without this process. A
+        new process then need not wait before it acquires the lock.
     """
 
     def __init__(
@@ -150,6 +157,7 @@
         self.restored_at = float("-inf")
         self.leaving = False
         self.wait_until_stopped: Callable[[], Awaitable[object]] = checkpoint
+        self.is_known_to_members: Callable[[], Awaitable[bool]] = _return_false
 
     def mark_registered(self) -> None:
         """Record that other members can know of this process from now on."""
@@ -222,7 +230,7 @@
                     pause_s = LEASE_RENEWAL_INTERVAL_S
                 else:
                     await self._request_release()
-                    if self._may_acquire():
+                    if self._may_acquire() and await self._is_known():
                         await self._acquire()
             except StoreError as error:
                 log.info("store call for the duty failed", error=str(error))
@@ -278,17 +286,32 @@
         waited_s = self.clock() - self.free_since
         if record is not None and record.holder == self.holder:
             return True  # written by an earlier process of this proxy
-        # During a store outage, members confirm the primaries among themselves and
-        # rely on no process unknown to them changing a primary.
-        is_new_process = self.clock() < self.registered_at + NEW_PROCESS_WAIT_S
-        if is_new_process and not self.first_start:
-            return False
         if record is None:
             # The store may have revoked the key while its holder still acts.
             holder_wait_s = 0.0 if self.last_holder_released else LEASE_TTL_S
             return waited_s >= holder_wait_s + self.acquire_delay_s()
         return not record.holder and waited_s >= self.acquire_delay_s()
 
+    async def _is_known(self) -> bool:
+        """Return whether every member that is cut off knows of this process.
+
+        During a store outage, members confirm the primaries among themselves and rely
+        on no process unknown to them changing a primary.
+        """
+        is_successor = self.record is not None and self.record.holder == self.holder
+        if self.first_start or is_successor:
+            return True
+        if self.clock() >= self.registered_at + NEW_PROCESS_WAIT_S:
+            return True
+        if self.registered_at > self.clock() or not await self.is_known_to_members():
+            return False
+        log.info("new process is known to all members", age_s=self._age_s())
+        return self._may_acquire()
+
+    def _age_s(self) -> float:
+        """Return the time since this process was registered, in seconds."""
+        return round(self.clock() - self.registered_at, 3)
+
     async def _renew(self) -> None:
         """Renew the lease; the lock is lost if the lease has expired."""
         sent_at = self.clock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
@@ -15,6 +15,7 @@
     Leadership,
 )
 from rosemaryward.decisions.leadership.tests.fakes import Peers, member
+from rosemaryward.decisions.mirror import make_revision
 
 SELF = "inc-proxy-1"
 
@@ -121,3 +122,51 @@
     confirmation.peers.confirmations = {"proxy-2": answer, "proxy-3": answer}
     await confirmation.confirm_through_members()
     assert confirmation.is_relayed() is relayed
+
+
+def known_by(incarnation, registered=True, revision=0):
+    return ConfirmationReply(0.1, registered, False, {}, revision, incarnation)
+
+
+TWO, THREE = known_by("inc-proxy-2"), known_by("inc-proxy-3")
+OTHER_GENERATION = make_revision(1, 1)
+
+
+@pytest.mark.parametrize(
+    ("two", "three", "absent", "known"),
+    [
+        pytest.param(TWO, THREE, (), True, id="all-know"),
+        pytest.param(TWO, None, (), False, id="one-unreachable"),
+        pytest.param(TWO, None, ("proxy-3",), False, id="absent-may-bridge"),
+        pytest.param(TWO, known_by("inc-proxy-3", False), (), False, id="one-missed"),
+        pytest.param(TWO, known_by("inc-before"), (), False, id="another-process"),
+        pytest.param(
+            TWO,
+            known_by("inc-proxy-3", revision=OTHER_GENERATION),
+            (),
+            False,
+            id="read-before-a-restore",
+        ),
+    ],
+)
+async def test_new_process_is_known_if_all_members_have_read_its_registration(
+    two, three, absent, known
+):
+    """Guards against a change of primary that a cut-off member does not see."""
+    clock = FakeClock()
+    confirmation = make_confirmation(clock)
+    for number, name in enumerate(("proxy-1", "proxy-2", "proxy-3"), 1):
+        confirmation.directory.observe(member(name), number)
+        if name not in absent:
+            confirmation.directory.mark_alive(name)
+    answers = {"proxy-2": two, "proxy-3": three}
+    confirmation.peers.confirmations = {n: a for n, a in answers.items() if a}
+    assert await confirmation.is_known_to_members() is known
+
+
+async def test_process_without_a_read_of_its_registration_is_not_known():
+    """Guards against a new process that does not know all members yet."""
+    clock = FakeClock()
+    confirmation = Confirmation(SELF, Leadership(clock), Peers(), clock)
+    confirmation.record_read(clock(), [member("proxy-2")])
+    assert not await confirmation.is_known_to_members()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_failover_lock.py
@@ -33,7 +33,7 @@
         await lock._renew()
         return
     await lock._request_release()
-    if lock._may_acquire():
+    if lock._may_acquire() and await lock._is_known():
         await lock._acquire()
 
 
@@ -119,6 +119,26 @@
     assert lock.is_held()
 
 
+@pytest.mark.parametrize("is_known", [True, False])
+async def test_lock_has_a_holder_after_a_rolling_restart(is_known):
+    """Guards against primaries that nobody replaces while all processes are new."""
+    store, clock = MemoryStore(), FakeClock()
+    lock = make_lock(store, clock, name="proxy-2", first_start=False)
+    store.revision = 12
+    store.values[KEY] = (b"", 12)
+    lock.observe(LockRecord("", "inc-proxy-1"), 12)
+
+    async def is_known_to_members():
+        return is_known
+
+    lock.is_known_to_members = is_known_to_members
+    await step(lock)
+    assert not lock.is_held()  # not registered yet
+    lock.mark_registered()
+    await step(lock)
+    assert lock.is_held() is is_known
+
+
 async def test_released_lock_is_acquired_at_once():
     """Guards against a time without a holder at every planned restart."""
     store, clock = MemoryStore(), FakeClock()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -178,15 +178,6 @@
         self.executor = Executor(
             self.target_selector, self.statement_log.attempt_failed
         )
-        self.failover_lock = FailoverLock(
-            self.store,
-            FAILOVER_LOCK_KEY,
-            settings.name,
-            self.incarnation,
-            lambda: acquire_delay_s(self.members, settings.name),
-            settings.first_start,
-            self._request_release,
-        )
         self.reader_failures = ReaderFailures()
         self.confirmation = Confirmation(
             self.incarnation,
@@ -197,6 +188,16 @@
             reader_failures=self.reader_failures,
             read_store_soon=lambda: self.mirror.confirm_now(),
         )
+        self.failover_lock = FailoverLock(
+            self.store,
+            FAILOVER_LOCK_KEY,
+            settings.name,
+            self.incarnation,
+            lambda: acquire_delay_s(self.members, settings.name),
+            settings.first_start,
+            self._request_release,
+        )
+        self.failover_lock.is_known_to_members = self.confirmation.is_known_to_members
         self.failover_lock.wait_until_stopped = self.confirmation.wait_for_changes
         self.fence_reports = FenceReports(self.store, FENCE_PREFIX)
         self.fence_reporter = FenceReporter(
