Read comments and quoted names before statements are classified

What callers saw: a locking read whose keywords stand between two comments with a quote ran at a replica, and a query of a quoted name with a quote was answered by the proxy itself.

Cause: literals were replaced without regard to comments and quoted names, so another text was classified than the one that runs. Comments that endpoints execute counted as comments.

Evidence: the six new rows of test_classify failed before: line-comment, hash-comment, comment, name, executed and quoted-comment (a read that now counts as a write, to be safe).

Change: one pattern for literals, names and comments, shared with the parameters of prepared statements. A statement with a comment that endpoints execute counts as a write.

--- a/packages/rosemaryward-callers/src/rosemaryward/callers/parameters.py
+++ b/packages/rosemaryward-callers/src/rosemaryward/callers/parameters.py
@@ -6,7 +6,6 @@
 
 import io
 import math
-import re
 
 from mysql_mimic import packets, types
 from mysql_mimic.charset import CharacterSet
@@ -14,22 +13,11 @@
 from mysql_mimic.prepared import PreparedStatement
 from mysql_mimic.types import Capabilities
 
-from rosemaryward.decisions.routing.literals import quote_text
+from rosemaryward.decisions.routing.literals import TOKEN_PATTERN, quote_text
 
 __all__ = ["bind_parameters", "find_placeholders", "format_literal", "read_parameters"]
 
 _PLACEHOLDER = "?"
-# Comments that the endpoint executes, /*! … */, are not skipped.
-_TOKEN_PATTERN = re.compile(
-    r"'(?:[^'\\]|\\.|'')*'"
-    r"|\"(?:[^\"\\]|\\.|\"\")*\""
-    r"|`(?:[^`]|``)*`"
-    r"|--(?=\s|\Z)[^\n]*"
-    r"|#[^\n]*"
-    r"|/\*(?!!).*?\*/"
-    r"|\?",
-    re.DOTALL,
-)
 _EXECUTE_HEAD_BYTES = 9  # statement id, flags and iteration count
 
 
@@ -37,8 +25,8 @@
     """Return the positions of the parameters in the text of a prepared statement."""
     return [
         match.start()
-        for match in _TOKEN_PATTERN.finditer(sql)
-        if match[0] == _PLACEHOLDER
+        for match in TOKEN_PATTERN.finditer(sql)
+        if match.lastgroup == "placeholder"
     ]
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
@@ -12,13 +12,13 @@
 import sqlglot
 from sqlglot import exp
 
+from rosemaryward.decisions.routing.literals import TOKEN_PATTERN
+
 __all__ = ["StatementKind", "StatementClass", "Classifier", "MAX_STATEMENT_CHARACTERS"]
 
 CACHED_FINGERPRINTS = 10_000
 MAX_STATEMENT_CHARACTERS = 4 * 1024 * 1024
-_LITERAL_PATTERN = re.compile(
-    r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b", re.DOTALL
-)
+_EXECUTED_COMMENT = re.compile(r"/\*M?!")
 _FIRST_WORDS_PATTERN = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)(?:\s+(\w+))?", re.DOTALL)
 
 
@@ -84,7 +84,7 @@
         A statement that cannot be parsed counts as a write. That is always safe,
         because the primary runs it and reports any syntax error.
         """
-        fingerprint = _LITERAL_PATTERN.sub("?", sql)
+        fingerprint = TOKEN_PATTERN.sub(_replace_token, sql)
         cached = self.cache.get(fingerprint)
         if cached is not None:
             self.cache.move_to_end(fingerprint)
@@ -96,7 +96,16 @@
         return result
 
 
+def _replace_token(match: re.Match[str]) -> str:
+    """Return what stands for a literal, name or comment in a fingerprint."""
+    if match.lastgroup in ("name", "executed"):
+        return match[0]
+    return " " if match.lastgroup == "comment" else "?"
+
+
 def _classify(sql: str) -> StatementClass:
+    if _EXECUTED_COMMENT.search(sql):
+        return StatementClass(StatementKind.WRITE)
     words = _FIRST_WORDS_PATTERN.match(sql)
     if words is None:
         return StatementClass(StatementKind.WRITE)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_classification.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_classification.py
@@ -41,6 +41,20 @@
         pytest.param("rollback", StatementKind.ROLLBACK, set(), id="rollback"),
         pytest.param("ROLLBACK TO a", WRITE, set(), id="savepoint"),
         pytest.param("", WRITE, set(), id="empty"),
+        pytest.param(
+            "SELECT * FROM t -- '\n FOR UPDATE -- '", WRITE, {"t"}, id="line-comment"
+        ),
+        pytest.param(
+            'SELECT * FROM t # "\n FOR UPDATE # "', WRITE, {"t"}, id="hash-comment"
+        ),
+        pytest.param(
+            "SELECT * FROM t /* ' */ FOR UPDATE /* ' */", WRITE, {"t"}, id="comment"
+        ),
+        pytest.param(
+            "SELECT `a'b` FROM t WHERE `c'd` = 1 FOR UPDATE", WRITE, {"t"}, id="name"
+        ),
+        pytest.param("SELECT * FROM t /*! FOR UPDATE */", WRITE, set(), id="executed"),
+        pytest.param("SELECT `/*!` FROM t", WRITE, set(), id="quoted-comment"),
     ],
 )
 def test_classify(sql, kind, tables):
