--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
@@ -17,6 +17,7 @@
 __all__ = ["StatementKind", "StatementClass", "Classifier", "MAX_STATEMENT_CHARACTERS"]
 
 CACHED_FINGERPRINTS = 10_000
+CACHED_CHARACTERS = 8 * 1024 * 1024  # of all fingerprints together
 MAX_STATEMENT_CHARACTERS = 4 * 1024 * 1024
 _EXECUTED_COMMENT = re.compile(r"/\*M?!")
 _FIRST_WORDS_PATTERN = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)(?:\s+(\w+))?", re.DOTALL)
@@ -70,12 +71,23 @@
     ----------
     size : int
         Maximum number of cached fingerprints; the least recently used is evicted.
+    max_characters : int
+        Maximum length of all cached fingerprints together.
+
+    Attributes
+    ----------
+    characters : int
+        Length of all cached fingerprints together.
     """
 
-    __slots__ = ("cache", "size")
+    __slots__ = ("cache", "characters", "max_characters", "size")
 
-    def __init__(self, size: int = CACHED_FINGERPRINTS) -> None:
+    def __init__(
+        self, size: int = CACHED_FINGERPRINTS, max_characters: int = CACHED_CHARACTERS
+    ) -> None:
         self.size = size
+        self.max_characters = max_characters
+        self.characters = 0
         self.cache: OrderedDict[str, StatementClass] = OrderedDict()
 
     def classify(self, sql: str) -> StatementClass:
@@ -90,11 +102,17 @@
             self.cache.move_to_end(fingerprint)
             return cached
         result = _classify(fingerprint)
-        self.cache[fingerprint] = result
-        if len(self.cache) > self.size:
-            self.cache.popitem(last=False)
+        self._keep(fingerprint, result)
         return result
 
+    def _keep(self, fingerprint: str, result: StatementClass) -> None:
+        """Add a class to the cache, and evict others until it is within its bounds."""
+        self.cache[fingerprint] = result
+        self.characters += len(fingerprint)
+        while len(self.cache) > self.size or self.characters > self.max_characters:
+            evicted, _ = self.cache.popitem(last=False)
+            self.characters -= len(evicted)
+
 
 def _replace_token(match: re.Match[str]) -> str:
     """Return what stands for a literal, name or comment in a fingerprint."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_classification.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_classification.py
@@ -79,6 +79,14 @@
     assert len(classifier.cache) == 10
 
 
+def test_long_statements_do_not_fill_the_cache():
+    """Guards against one caller whose statements take the memory of the process."""
+    classifier = Classifier(max_characters=2_000)
+    for number in range(30):
+        classifier.classify(f"SELECT * FROM t{number} WHERE " + "a = b OR " * 50)
+    assert sum(map(len, classifier.cache)) == classifier.characters <= 2_000
+
+
 def test_quoted_keyword_is_a_literal():
     """Guards against a literal that determines the class of a cached fingerprint."""
     classifier = Classifier()
