Compare request keys by their bytes

What callers saw: a write whose request key differs from another one's only in case or accents was acknowledged with the other's answer and did not run. A key could end with a line end.

Cause: the table of request keys had the default collation, which ignores case and accents. The stand-in compared by bytes and did not show it.

Not run against a real MySQL.

Change: the column has a binary collation. Names are matched as a whole.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/instance/tests/test_statements.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/instance/tests/test_statements.py
@@ -7,6 +7,7 @@
     run,
     wait_until_applied,
 )
+from rosemaryward.decisions.routing.request_keys import CREATE_REQUEST_TABLE
 
 BOOKINGS_TABLE_SQL = """CREATE TABLE IF NOT EXISTS `bookings` (
   `id` BIGINT UNSIGNED NOT NULL AUTO_INCREMENT,
@@ -48,6 +49,20 @@
         ]
 
 
+async def test_request_keys_that_differ_in_case_are_two_keys():
+    """Guards against a write that is not run because of another caller's key."""
+    async with group(1) as (primary,), client(primary.port) as connection:
+        await run(connection, CREATE_REQUEST_TABLE)
+        for key in ("booking-a", "Booking-A"):
+            await run(
+                connection,
+                "INSERT INTO rosemaryward_requests (request_key, affected_rows, "
+                f"last_insert_id) VALUES ('{key}', 0, 0)",
+            )
+        (count,) = await run(connection, "SELECT COUNT(*) FROM rosemaryward_requests")
+    assert count == (2,)
+
+
 @pytest.mark.parametrize(
     ("sql", "code"),
     [
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/instance/translate.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/instance/translate.py
@@ -104,6 +104,13 @@
     return isinstance(item, exp.IndexColumnConstraint)
 
 
+def ignores_case(data_type: exp.DataType, kinds: list[exp.Expr | None]) -> bool:
+    """Return whether a column compares texts without regard to case, as by default."""
+    collations = [k for k in kinds if isinstance(k, exp.CollateColumnConstraint)]
+    is_binary = any(kind.this.name.endswith("_bin") for kind in collations)
+    return data_type.is_type(*exp.DataType.TEXT_TYPES) and not is_binary
+
+
 def adapt_column(column: exp.ColumnDef) -> None:
     """Give a column a type and constraints that SQLite accepts."""
     constraints = column.args.get("constraints") or []
@@ -113,8 +120,11 @@
         for constraint, kind in zip(constraints, kinds, strict=True)
         if not isinstance(kind, DROPPED_CONSTRAINTS)
     ]
-    column.set("constraints", kept)
     data_type = column.args["kind"]
+    if ignores_case(data_type, kinds):
+        collation = exp.CollateColumnConstraint(this=exp.Var(this="NOCASE"))
+        kept.append(exp.ColumnConstraint(kind=collation))
+    column.set("constraints", kept)
     if any(isinstance(kind, exp.AutoIncrementColumnConstraint) for kind in kinds):
         column.set("kind", exp.DataType.build("INT"))
     elif data_type.is_type("decimal"):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/attributes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/attributes.py
@@ -33,7 +33,7 @@
     r"(?:'([^']*)'|\"([^\"]*)\"|(NULL)|([\w.+-]+))\s*;?\s*$",
     re.IGNORECASE,
 )
-_NAME_PATTERN = re.compile(r"[\w.:@/+-]+$")
+_NAME_PATTERN = re.compile(r"[\w.:@/+-]+")
 
 
 class AttributeValueError(RosemarywardError):
@@ -155,7 +155,7 @@
 
 
 def _parse_name(name: str, text: str) -> str:
-    if len(text) > MAX_NAME_CHARACTERS or not _NAME_PATTERN.match(text):
+    if len(text) > MAX_NAME_CHARACTERS or not _NAME_PATTERN.fullmatch(text):
         raise AttributeValueError(
             f"attribute {name!r}: expected 1 to {MAX_NAME_CHARACTERS} letters, "
             f"digits or any of _.:@/+-, got {text[:40]!r}"
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/request_keys.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/request_keys.py
@@ -14,7 +14,7 @@
 REQUEST_TABLE = "rosemaryward_requests"
 CREATE_REQUEST_TABLE = (
     f"CREATE TABLE IF NOT EXISTS {REQUEST_TABLE} ("
-    "request_key VARCHAR(128) PRIMARY KEY, "
+    "request_key VARCHAR(128) CHARACTER SET utf8mb4 COLLATE utf8mb4_bin PRIMARY KEY, "
     "affected_rows BIGINT NOT NULL, last_insert_id BIGINT NOT NULL, "
     "created_at TIMESTAMP DEFAULT CURRENT_TIMESTAMP)"
 )
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_attributes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_attributes.py
@@ -20,6 +20,7 @@
         pytest.param({"session": "x" * 200}, "session", id="long-session"),
         pytest.param({"session": "a'b"}, "session", id="quote-in-session"),
         pytest.param({"request": ""}, "request", id="empty-request"),
+        pytest.param({"request": "a\n"}, "request", id="line-end-in-request"),
         pytest.param({"deadline_s": "-1"}, "deadline_s", id="negative-deadline"),
         pytest.param({"deadline_s": "nan"}, "deadline_s", id="nan-deadline"),
         pytest.param({"staleness_s": "soon"}, "staleness_s", id="text-staleness"),
