Let the soak prepare shapes with blanks under names that collide

Change: every other session prepares a read and a write under the same two names, with shapes that contain READ or WRITE, and executes them in place of plain statements. A run under another access or shape counts as pinned; prepared writes and reads count for lost and stale ones.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/callers.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/callers.py
@@ -99,11 +99,19 @@
                 if reply.code:
                     return
                 values["tag"] = str(number)
+            prepared = await self._prepare(proxy, caller, number)
+            if prepared is None:
+                return
             left = self.rng.randrange(1, SESSION_OPERATIONS_LIMIT)
             while (left or self.keep_sessions) and not self.stopping:
                 left = max(left - 1, 0)
                 operation = Operation(
-                    number, database, dict(values), time.monotonic(), []
+                    number,
+                    database,
+                    dict(values),
+                    time.monotonic(),
+                    [],
+                    prepared=prepared,
                 )
                 self.operations.append(operation)
                 if not await self._run_operation(proxy, caller, operation):
@@ -142,6 +150,27 @@
             return f"WRITE {item} {self.rng.getrandbits(48):x}"
         return f"READ {item}"
 
+    async def _prepare(
+        self, proxy: Proxy, caller: FakeCaller, number: int
+    ) -> dict[str, tuple[str, str]] | None:
+        """Prepare statements in every other session, under names that collide.
+
+        Returns
+        -------
+        dict of str to tuple of str, or None
+            Access and shape by name; None if the proxy has refused one.
+        """
+        if number % 2:
+            return {}
+        other = "READ" if number % 4 else "WRITE"
+        shape = f"q{number % 6} {other} note"
+        prepared = {"w1": ("WRITE", shape), "r1": ("READ", shape)}
+        for name, (access, shape) in prepared.items():
+            text = f"PREPARE {name} {access} {shape}"
+            if (await self._query(proxy, caller, text)).code:
+                return None
+        return prepared
+
     async def _query(self, proxy: Proxy, caller: FakeCaller, text: str) -> CallerReply:
         """Send a statement and record it if its reply is lost."""
         sent_at = time.monotonic()
@@ -157,8 +186,13 @@
     async def _run_statement(
         self, proxy: Proxy, caller: FakeCaller, operation: Operation, text: str
     ) -> StatementRecord:
-        """ExecutedStatement a statement and record its reply."""
-        statement = StatementRecord("", text, time.monotonic())
+        """Run a statement, prepared if the session has prepared its kind."""
+        word, _, arguments = text.partition(" ")
+        name = f"{word[:1].lower()}1"
+        executed = operation.prepared.get(name, ())
+        if executed:
+            text = f"EXECUTE {name} {arguments}"
+        statement = StatementRecord("", text, time.monotonic(), prepared=executed)
         operation.statements.append(statement)
         try:
             reply = await self._query(proxy, caller, text)
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
@@ -23,6 +23,9 @@
     signature : str
         Signature of the run, ``-`` if the reply did not come from an instance.
     rows : tuple of str
+    prepared : tuple of str
+        Access and shape of the prepared statement that it executes, empty for other
+        statements.
     """
 
     request_id: str
@@ -32,6 +35,12 @@
     code: str = ""
     signature: str = ""
     rows: tuple[str, ...] = ()
+    prepared: tuple[str, ...] = ()
+
+    @property
+    def access(self) -> str:
+        """First word of the text, or the access of the prepared statement."""
+        return self.prepared[0] if self.prepared else self.text.partition(" ")[0]
 
     @property
     def succeeded(self) -> bool:
@@ -55,6 +64,8 @@
     transaction : bool
     expects_no_effect : bool
         Whether a reply guaranteed that the operation had no effect.
+    prepared : dict of str to tuple of str
+        Access and shape of the session's prepared statements, by name.
     """
 
     session: int
@@ -64,6 +75,7 @@
     statements: list[StatementRecord]
     transaction: bool = False
     expects_no_effect: bool = False
+    prepared: dict[str, tuple[str, str]] = {}
 
 
 class _Commit(msgspec.Struct, frozen=True):
@@ -160,6 +172,10 @@
                     violations.append(
                         f"pinned: {statement.request_id} had values {run.values}"
                     )
+                if run.prepared != statement.prepared:
+                    violations.append(
+                        f"pinned: {statement.request_id} ran as {run.prepared}"
+                    )
                 if run.transaction:
                     owner = owners.setdefault(run.transaction, number)
                     if owner != number:
@@ -175,17 +191,14 @@
         statement
         for statement in operation.statements
         if statement.text == "COMMIT"
-        or (
-            not operation.transaction
-            and statement.text.startswith(("WRITE", "EXECUTE w"))
-        )
+        or (not operation.transaction and statement.access == "WRITE")
     ]
 
 
 def _acknowledged_commits(operation: Operation) -> list[StatementRecord]:
     """Return the commits of an operation that wrote and that a caller was told of."""
     wrote = not operation.transaction or any(
-        s.text.startswith("WRITE") and s.succeeded for s in operation.statements
+        s.access == "WRITE" and s.succeeded for s in operation.statements
     )
     return [s for s in _commits(operation) if wrote and s.succeeded]
 
@@ -227,7 +240,7 @@
     violations = []
     for operation in operations:
         for statement in operation.statements:
-            if not statement.text.startswith("READ"):
+            if statement.access != "READ":
                 continue
             for run in runs.get(statement.request_id, []):
                 missing = [
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
@@ -1,3 +1,4 @@
+import msgspec
 import pytest
 
 from rosemaryward.bench.soak.history import Operation, StatementRecord, check
@@ -48,6 +49,18 @@
     )
 
 
+def executed(request_id, access, shape="q READ note"):
+    sent = statement(
+        request_id, "EXECUTE r1 k" if access == "READ" else "EXECUTE w1 k v"
+    )
+    return msgspec.structs.replace(sent, prepared=(access, shape))
+
+
+def ran_prepared(request_id, text, access, shape="q READ note", **changes):
+    run = ran(request_id, text, **changes)
+    return msgspec.structs.replace(run, prepared=(access, shape))
+
+
 def operation(*statements, database="primary", session=1, **changes):
     values = {"values": {}, "began_at": statements[0].sent_at, **changes}
     return Operation(session, database, statements=list(statements), **values)
@@ -147,6 +160,24 @@
         "stale",
         id="stale-route-past-its-bound",
     ),
+    pytest.param(
+        [operation(executed("a", "WRITE"))],
+        make_group(["a"], [ran_prepared("a", "EXECUTE s7 k v", "WRITE")]),
+        None,
+        id="prepared-write",
+    ),
+    pytest.param(
+        [operation(executed("a", "READ"))],
+        make_group([], [ran_prepared("a", "EXECUTE s7 k", "READ", "q")]),
+        "pinned",
+        id="another-shape",
+    ),
+    pytest.param(
+        [operation(executed("a", "WRITE"))],
+        make_group([], [ran_prepared("a", "EXECUTE s7 k v", "WRITE")]),
+        "lost",
+        id="lost-prepared-write",
+    ),
 ]
 
 
