Split the fake of a replication group, and share its caller

The module had 650 lines: instances with their sessions and logs are now in fakes/instance.py, the group and its promotion call in fakes/group.py. No behaviour changes.

--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/failovers.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/failovers.py
@@ -9,7 +9,7 @@
 from rosemaryward.bench.soak.faults import Faults
 from rosemaryward.bench.soak.fleet import Fleet, Proxy
 from rosemaryward.bench.soak.links import LinkState
-from rosemaryward.platform.fakes.group import REPLICATION_LAG_S, FakeInstance
+from rosemaryward.platform.fakes.instance import REPLICATION_LAG_S, FakeInstance
 from rosemaryward.proxy.platform_keys import FAILOVER_LOCK_KEY
 
 __all__ = ["FailoverFaults"]
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/faults.py
@@ -12,7 +12,7 @@
 
 from rosemaryward.bench.soak.fleet import Fleet, Proxy
 from rosemaryward.bench.soak.links import Link, LinkState
-from rosemaryward.platform.fakes.group import FakeInstance
+from rosemaryward.platform.fakes.instance import FakeInstance
 
 __all__ = ["FaultRecord", "Faults"]
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/history.py
@@ -3,7 +3,8 @@
 import msgspec
 
 from rosemaryward.decisions.types import LogPosition
-from rosemaryward.platform.fakes.group import ExecutedStatement, FakeGroup
+from rosemaryward.platform.fakes.group import FakeGroup
+from rosemaryward.platform.fakes.instance import ExecutedStatement
 
 __all__ = ["Operation", "StatementRecord", "check"]
 
--- a/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/soak/tests/test_history.py
@@ -3,13 +3,8 @@
 
 from rosemaryward.bench.soak.history import Operation, StatementRecord, check
 from rosemaryward.decisions.types import LogPosition
-from rosemaryward.platform.fakes.group import (
-    ExecutedStatement,
-    FakeGroup,
-    LogEntry,
-    PromotedLog,
-    PromotionCall,
-)
+from rosemaryward.platform.fakes.group import FakeGroup, PromotedLog, PromotionCall
+from rosemaryward.platform.fakes.instance import ExecutedStatement, LogEntry
 
 PLACES = [("north", "a"), ("south", "b")]
 MAX_STALENESS_S = 1.5
