Drop the part of a pattern that skips comments

Comments are replaced before a statement is classified, and those that endpoints execute end the classification, so the pattern for the first words never meets one. No behaviour changes; the 144 tests of routing and callers pass.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/classification.py
@@ -20,7 +20,7 @@
 CACHED_CHARACTERS = 8 * 1024 * 1024  # of all fingerprints together
 MAX_STATEMENT_CHARACTERS = 4 * 1024 * 1024
 _EXECUTED_COMMENT = re.compile(r"/\*M?!")
-_FIRST_WORDS_PATTERN = re.compile(r"\s*(?:/\*.*?\*/\s*)*(\w+)(?:\s+(\w+))?", re.DOTALL)
+_FIRST_WORDS_PATTERN = re.compile(r"\s*(\w+)(?:\s+(\w+))?")
 
 
 class StatementKind(Enum):
