Expect a reset during the hello of another proxy

Run alone, the statement server of the MySQL side ends with BrokenResourceError of the first read, which was missing among the errors of the hello, and not with RuntimeError.

Change: the errors of a connection that ends are one tuple, used for the hello and after it, so that the reset counts as a rejected connection and is no unexpected error in the log.

--- a/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/statements.py
@@ -57,6 +57,7 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_HELLO_BYTES = 256
 HELLO_TIMEOUT_S = 5.0
+DISCONNECTED_ERRORS = (anyio.BrokenResourceError, anyio.EndOfStream, OSError)
 
 
 class StatementClient:
@@ -268,7 +269,7 @@
         try:
             with anyio.fail_after(HELLO_TIMEOUT_S):
                 hello, rest = await _read_hello(stream)
-        except (PeerError, TimeoutError, anyio.EndOfStream, OSError):
+        except (PeerError, TimeoutError, *DISCONNECTED_ERRORS):
             self.rejected_connections += 1
             return
         client.enter(ClientState.IDLE)
@@ -290,7 +291,7 @@
                 group.start_soon(send_queue.run)
                 await self._read_requests(stream, sender, rest, send_queue, client)
                 group.cancel_scope.cancel()
-        except* (anyio.BrokenResourceError, anyio.EndOfStream, OSError):
+        except* DISCONNECTED_ERRORS:
             pass
         except* PeerError:
             self.rejected_connections += 1
