Let a new process take the lock although one member does not answer

What callers saw: after planned restarts of all hosts, a leaving primary kept getting new statements past drain_ms if one host was without power, stood still or did not reach the store (DRAIN).

Cause: since all processes were new, one could take the lock only if the last read of every registered proxy had shown it. One that is silent, or whose reads are older, kept the lock free for 10 s.

Change: a new process introduces itself to all members. One, or a quarter of a large fleet, need not answer. A member that confirms the records without the store names to its members those that it asks; they name the processes that it does not know, and it asks these too. Introductions are retried, and requests that the lock waits for may take 2 s. The lock's last holder is no longer asked to stop once its lease has run out.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -9,8 +9,10 @@
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.leadership.members import (
+    CLOCK_DRIFT_MARGIN_S,
     ConfirmationReply,
     ConfirmationRequest,
+    IntroductionRequest,
     MemberDirectory,
     MemberRecord,
     PeerChannel,
@@ -42,6 +44,10 @@
 # A reader that is asked by a process it does not know reads the store again, unless it
 # has just done so. All processes that start within this time share the read.
 MIN_READ_INTERVAL_S = 0.1
+# Share of the members that need not answer a new process; one need not in any fleet.
+MAX_UNREACHED_SHARE = 0.25
+INTRODUCTION_RETRY_S = 0.1
+INTRODUCTION_TIMEOUT_S = 2.0  # members that have registered since are asked thereafter
 REGISTRATION_POLL_S = 0.1
 REGISTRATION_WAIT_S = 1.0  # longer than a reader takes to read the store twice
 
@@ -53,7 +59,8 @@
 
     A member that can reach the store passes its confirmation on. If no member can, no
     change can be announced: if every registered member answers that it has announced
-    none, the records are confirmed as of the time of the request.
+    none, the records are confirmed as of the time of the request. The members name
+    processes that the asking one does not know, and these are asked as well.
 
     Parameters
     ----------
@@ -89,6 +96,11 @@
         Store revision of that read.
     relayed_at : float
         Boot time of the newest read that another member has passed on.
+    introduced : dict of str to tuple of MemberRecord and float
+        New processes that have introduced themselves, by incarnation, with the boot
+        time of their request.
+    leaving : bool
+        Whether this process is about to remove its registration.
     """
 
     def __init__(
@@ -116,6 +128,8 @@
         self.members: list[MemberRecord] = []
         self.revision = 0
         self.relayed_at = float("-inf")
+        self.introduced: dict[str, tuple[MemberRecord, float]] = {}
+        self.leaving = False
 
     def record_read(
         self, sent_at: float, members: Iterable[MemberRecord], revision: int = 0
@@ -158,32 +172,88 @@
         answered = {reply.incarnation for reply in replies}
         return all(member.incarnation in answered for member in others)
 
-    async def is_known_to_members(self) -> bool:
-        """Return whether no member can confirm the primaries without this process.
+    def observe_introduction(self, member: MemberRecord) -> None:
+        """Take account of a new process that may soon change primaries."""
+        if member.incarnation not in self.introduced:
+            log.info("new process introduced", member=member.name)
+        self.introduced[member.incarnation] = (member, self.clock())
 
-        A member does so for `MAX_BRIDGED_OUTAGE_S` after its last read of the store, by
-        asking the members that the read showed. In a large fleet, those that do not
-        read the store cannot answer for themselves.
+    async def introduce(self) -> bool:
+        """Make this new process known to the members before it changes primaries.
+
+        A member that is cut off from the store confirms the records if all processes
+        that it knows answer. At least one of them, if it can answer at all, has been
+        told of this process and names it, unless they are all among the unreached.
+
+        Returns
+        -------
+        bool
+            Whether no member can confirm the records without asking this process.
         """
-        live = self.directory.live_members()
-        if not all_members_read_store(live) or not self.directory.are_all_known():
-            return False
-        if not self._contains(self.members, self.incarnation):
+        own = self._own_registration()
+        is_confirmed = self.leadership.confirmed_at > float("-inf")
+        if own is None or not is_confirmed or not self.directory.are_all_known():
             return False
         registered = {*self.members, *self.directory.members.values()}
         others = [m for m in registered if m.incarnation != self.incarnation]
-        known = {
-            reply.incarnation
-            for reply in await self._ask(others)
-            if reply.registered
-            and generation_of(reply.revision) == generation_of(self.revision)
+        max_unreached = max(1, int(len(registered) * MAX_UNREACHED_SHARE))
+        unreached = {member.incarnation: member.name for member in others}
+
+        async def introduce_to(member: MemberRecord) -> None:
+            while member.incarnation in unreached:
+                try:
+                    await self.peers.introduce(member, IntroductionRequest(own))
+                except PeerError as error:
+                    log.debug(
+                        "introduction to a member failed",
+                        member=member.name,
+                        error=str(error),
+                    )
+                    await anyio.sleep(INTRODUCTION_RETRY_S)
+                    continue
+                del unreached[member.incarnation]
+            answered.set()
+
+        answered = anyio.Event()
+        async with anyio.create_task_group() as tasks:
+            for member in others:
+                tasks.start_soon(introduce_to, member)
+            with anyio.move_on_after(INTRODUCTION_TIMEOUT_S):
+                while len(unreached) > max_unreached:
+                    await answered.wait()
+                    answered = anyio.Event()
+            tasks.cancel_scope.cancel()
+        log.info(
+            "introduced to members",
+            asked=len(others),
+            unreached=sorted(unreached.values()),
+            accepted=len(unreached) <= max_unreached,
+        )
+        return len(unreached) <= max_unreached
+
+    def _own_registration(self) -> MemberRecord | None:
+        """Return the registration of this process, None without one."""
+        for member in self.directory.members.values():
+            if member.incarnation == self.incarnation:
+                return member
+        return None
+
+    def _introduced_members(self) -> list[MemberRecord]:
+        """Return the new processes that a member may lack in its last read."""
+        oldest = self.clock() - MAX_BRIDGED_OUTAGE_S - CLOCK_DRIFT_MARGIN_S
+        self.introduced = {
+            incarnation: (member, introduced_at)
+            for incarnation, (member, introduced_at) in self.introduced.items()
+            if introduced_at > oldest
         }
-        return known.issuperset(member.incarnation for member in others)
+        return [member for member, _ in self.introduced.values()]
 
     def reply(self, request: ConfirmationRequest) -> ConfirmationReply:
         """Return what the store last confirmed to this process."""
         leadership = self.leadership
-        registered = self._contains(self.members, request.incarnation)
+        registered = (
+            self._contains(self.members, request.incarnation) and not self.leaving
+        )
         if self.on_request is not None:
             self.on_request(request.incarnation)
         if not registered and not self._is_absent(request.incarnation):
@@ -195,12 +265,27 @@
         return ConfirmationReply(
             age_s=self.clock() - self.read_at,
             registered=registered,
-            changing=self._may_miss_change(),
+            changing=self._may_miss_change() or self._asks_no_new_process(request),
             records=records,
             revision=self.revision,
             incarnation=self.incarnation,
+            not_asked=self._members_not_asked(request),
         )
 
+    def _asks_no_new_process(self, request: ConfirmationRequest) -> bool:
+        """Return whether an earlier build asks, which does not ask those named."""
+        return not request.asked and bool(self._introduced_members())
+
+    def _members_not_asked(
+        self, request: ConfirmationRequest
+    ) -> tuple[MemberRecord, ...]:
+        """Return the known processes that a request for all replies does not name."""
+        if not request.asked:
+            return ()
+        known = {m.incarnation: m for m in [*self.members, *self._introduced_members()]}
+        unasked = known.keys() - {request.incarnation, *request.asked}
+        return tuple(known[incarnation] for incarnation in unasked)
+
     def _is_absent(self, incarnation: str) -> bool:
         """Return whether a process is known to have lost its liveness key."""
         return any(
@@ -358,8 +443,8 @@
             Kind of replies that confirmed them, empty if none did.
         """
         asked_at = self.clock()
-        others = self._members_to_ask()
-        replies = await self._ask(others)
+        asked = self._members_to_ask()
+        replies = await self._ask(asked)
         confirming = [
             reply
             for reply in replies
@@ -373,26 +458,66 @@
             self.leadership.confirm(asked_at - reply.age_s, generation)
         if confirming:
             return "a member that the store answers"
+        within_outage_limit = asked_at < self.read_at + MAX_BRIDGED_OUTAGE_S
+        if not within_outage_limit or not self._may_be_confirmed_by_all():
+            return ""
+        if await self._all_report_no_change(asked, replies):
+            self.leadership.confirm(asked_at, generation_of(self.revision))
+            return "all members, none of which the store answers"
+        return ""
+
+    def _may_be_confirmed_by_all(self) -> bool:
+        """Return whether every member reads the store, so can answer for itself."""
+        registered = self.directory.members.values()
+        return all_members_read_store(registered) and all_members_read_store(
+            self.members
+        )
+
+    async def _all_report_no_change(
+        self, asked: list[MemberRecord], replies: list[ConfirmationReply]
+    ) -> bool:
+        """Return whether all processes answer that they have announced no change.
+
+        Parameters
+        ----------
+        asked : list of MemberRecord
+            Processes that were asked, and that are asked further on; extended.
+        replies : list of ConfirmationReply
+            Their replies; extended.
+        """
+        newly_named = self._newly_named(asked, replies)
+        while newly_named:
+            asked += newly_named
+            further = await self._ask(newly_named)
+            for reply in further:
+                self._observe_records(reply)
+            replies += further
+            newly_named = self._newly_named(asked, replies)
         # A member whose last read lacks this process may already treat it as absent.
         generation = generation_of(self.revision)
         registered = sum(
             reply.registered and generation_of(reply.revision) == generation
             for reply in replies
         )
-        all_registered = registered == len(others) == len(self.members) - 1 > 0
         changing = self._may_miss_change() or any(reply.changing for reply in replies)
-        within_outage_limit = asked_at < self.read_at + MAX_BRIDGED_OUTAGE_S
-        if all_registered and within_outage_limit and not changing:
-            self.leadership.confirm(asked_at, generation)
-            return "all members, none of which the store answers"
-        return ""
+        return registered == len(asked) > 0 and not changing
+
+    def _newly_named(
+        self, asked: list[MemberRecord], replies: list[ConfirmationReply]
+    ) -> list[MemberRecord]:
+        """Return the processes named in replies that were not asked yet."""
+        named = {m.incarnation: m for reply in replies for m in reply.not_asked}
+        known = {self.incarnation, *(member.incarnation for member in asked)}
+        return [named[incarnation] for incarnation in named.keys() - known]
 
     async def _ask(self, members: Iterable[MemberRecord]) -> list[ConfirmationReply]:
         """Return the replies of those members that answer."""
         replies: list[ConfirmationReply] = []
+        members = list(members)
+        asked = tuple(member.incarnation for member in members)
 
         async def ask(member: MemberRecord) -> None:
-            request = ConfirmationRequest(self.incarnation)
+            request = ConfirmationRequest(self.incarnation, asked)
             try:
                 replies.append(await self.peers.request_confirmation(member, request))
             except PeerError as error:
@@ -416,7 +541,8 @@
 
     def _members_to_ask(self) -> list[MemberRecord]:
         """Return the other members to ask: all, or the readers of a large fleet."""
-        members = self.members
+        known = {m.incarnation: m for m in [*self.members, *self._introduced_members()]}
+        members = list(known.values())
         live = self.directory.live_members()
         if not all_members_read_store(live):
             domains = {member.place.failure_domain for member in live}
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -118,9 +118,9 @@
         Whether this process has released the lock and does not acquire it again.
     wait_until_stopped : callable
         Waits until nothing runs that this process has begun under the lock.
-    is_known_to_members : callable
-        Returns whether no member can confirm the primaries without this process. A
-        new process then need not wait before it acquires the lock.
+    introduce : callable
+        Makes a new process known to the members. Returns whether none can confirm the
+        primaries without asking it; it then need not wait before it acquires the lock.
     """
 
     def __init__(
@@ -157,7 +157,7 @@
         self.restored_at = float("-inf")
         self.leaving = False
         self.wait_until_stopped: Callable[[], Awaitable[object]] = checkpoint
-        self.is_known_to_members: Callable[[], Awaitable[bool]] = _return_false
+        self.introduce: Callable[[], Awaitable[bool]] = _return_false
 
     def mark_registered(self) -> None:
         """Record that other members can know of this process from now on."""
@@ -229,7 +229,8 @@
                     await self._renew()
                     pause_s = LEASE_RENEWAL_INTERVAL_S
                 else:
-                    await self._request_release()
+                    if not self._may_acquire():
+                        await self._request_release()
                     if self._may_acquire() and await self._is_known():
                         await self._acquire()
             except StoreError as error:
@@ -303,9 +304,9 @@
             return True
         if self.clock() >= self.registered_at + NEW_PROCESS_WAIT_S:
             return True
-        if self.registered_at > self.clock() or not await self.is_known_to_members():
+        if self.registered_at > self.clock() or not await self.introduce():
             return False
-        log.info("new process is known to all members", age_s=self._age_s())
+        log.info("new process is known to the members", age_s=self._age_s())
         return self._may_acquire()
 
     def _age_s(self) -> float:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -24,6 +24,8 @@
     "ConfirmationRequest",
     "FenceReply",
     "FenceRequest",
+    "IntroductionReply",
+    "IntroductionRequest",
     "MemberDirectory",
     "MemberRecord",
     "PeerChannel",
@@ -57,6 +59,9 @@
         Region and failure domain of the proxy.
     capacity : float
         Statements per second that its processor and link can relay.
+    verifies_reads : bool
+        Whether it reads a primary without further checks for `UNVERIFIED_READ_S`
+        only; earlier builds do so as long as a confirmation is valid.
     """
 
     name: str
@@ -65,6 +70,7 @@
     relay_address: str = ""
     place: Place = Place("", "")
     capacity: float = 0.0
+    verifies_reads: bool = False
 
 
 class FenceRequest(msgspec.Struct, frozen=True, tag="fence"):
@@ -131,9 +137,12 @@
     ----------
     incarnation : str
         Process that asks.
+    asked : tuple of str
+        Incarnations of all processes that it asks, empty if it needs only one reply.
     """
 
     incarnation: str
+    asked: tuple[str, ...] = ()
 
 
 class ConfirmationReply(msgspec.Struct, frozen=True, tag="confirmed"):
@@ -154,6 +163,8 @@
         Store revision of that read.
     incarnation : str
         Process that answered.
+    not_asked : tuple of MemberRecord
+        Processes known to the member that the request does not name as asked.
     """
 
     age_s: float
@@ -162,6 +173,31 @@
     records: dict[str, tuple[GroupRecord, int]]
     revision: int = 0
     incarnation: str = ""
+    not_asked: tuple[MemberRecord, ...] = ()
+
+
+class IntroductionRequest(msgspec.Struct, frozen=True, tag="introduce"):
+    """Request to take account of a new process that may soon change primaries.
+
+    Parameters
+    ----------
+    member : MemberRecord
+        Registration of the new process.
+    """
+
+    member: MemberRecord
+
+
+class IntroductionReply(msgspec.Struct, frozen=True, tag="introduced"):
+    """Reply that the member takes account of the new process.
+
+    Parameters
+    ----------
+    incarnation : str
+        Process that answered.
+    """
+
+    incarnation: str
 
 
 class ReleaseRequest(msgspec.Struct, frozen=True, tag="release"):
@@ -232,6 +268,11 @@
     ) -> ConfirmationReply:
         """Return what the store last confirmed to a member."""
 
+    async def introduce(
+        self, member: MemberRecord, request: IntroductionRequest
+    ) -> IntroductionReply:
+        """Make a new process known to a member."""
+
 
 class MemberDirectory:
     """Registered members, and which of them are live.
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/fakes.py
@@ -21,6 +21,7 @@
 from rosemaryward.decisions.leadership.fence_reports import FenceReports
 from rosemaryward.decisions.leadership.members import (
     FenceReply,
+    IntroductionReply,
     MemberDirectory,
     MemberRecord,
 )
@@ -149,6 +150,9 @@
         self.committed = {}
         self.incarnations = {}  # of processes that are not registered yet
         self.confirmations = {}
+        self.confirmation_requests = []
+        self.introducible = set()  # names of the members that answer introductions
+        self.introduced = []
         self.sent_records = []
 
     async def send_record(self, member, notice):
@@ -163,8 +167,16 @@
         committed = self.committed.get(member.name, LogPosition())
         return FenceReply(incarnation, self.fenced[member.name], committed)
 
+    async def introduce(self, member, request):
+        await anyio.lowlevel.checkpoint()
+        if member.name not in self.introducible:
+            raise PeerError(f"{member.name} is unreachable")
+        self.introduced.append((member.name, request.member))
+        return IntroductionReply(member.incarnation)
+
     async def request_confirmation(self, member, request):
         await anyio.lowlevel.checkpoint()
+        self.confirmation_requests.append((member.name, request))
         if member.name not in self.confirmations:
             raise PeerError(f"{member.name} is unreachable")
         return self.confirmations[member.name]
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -29,6 +29,8 @@
     ConfirmationRequest,
     FenceReply,
     FenceRequest,
+    IntroductionReply,
+    IntroductionRequest,
     MemberRecord,
     ReachabilityReply,
     ReachabilityRequest,
@@ -44,6 +46,9 @@
 __all__ = ["MemberClient", "MemberServer", "MemberReply", "MemberRequest"]
 
 REQUEST_TIMEOUT_S = 0.6  # a reachability request includes a probe of an endpoint
+# The failover lock, or a change of primary, would wait longer without these replies.
+FAILOVER_REQUEST_TIMEOUT_S = 2.0
+ARRIVAL_TIMEOUT_S = 2.0  # of a request at a process that is slow
 LENGTH_BYTES = 4
 COMPRESSED_FLAG = 1 << 31  # bit of the length prefix
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024  # fits all values of the store, compressed
@@ -56,6 +61,7 @@
     FenceRequest
     | ReachabilityRequest
     | ConfirmationRequest
+    | IntroductionRequest
     | ReleaseRequest
     | RecordNotice
     | ChangesRequest
@@ -64,6 +70,7 @@
     FenceReply
     | ReachabilityReply
     | ConfirmationReply
+    | IntroductionReply
     | ReleaseReply
     | RecordAck
     | ChangesReply
@@ -94,7 +101,7 @@
 
     async def fence(self, member: MemberRecord, request: FenceRequest) -> FenceReply:
         """Ask a member to stop using a group's primary; raises `PeerError`."""
-        reply = await self._request(member, request)
+        reply = await self._request(member, request, FAILOVER_REQUEST_TIMEOUT_S)
         if not isinstance(reply, FenceReply):
             raise PeerError(f"{member.name}: expected FenceReply, got {reply!r}")
         return reply
@@ -124,6 +131,15 @@
             raise PeerError(f"{member.name}: expected ConfirmationReply, got {reply!r}")
         return reply
 
+    async def introduce(
+        self, member: MemberRecord, request: IntroductionRequest
+    ) -> IntroductionReply:
+        """Make a new process known to a member; raises `PeerError`."""
+        reply = await self._request(member, request, FAILOVER_REQUEST_TIMEOUT_S)
+        if not isinstance(reply, IntroductionReply):
+            raise PeerError(f"{member.name}: expected IntroductionReply, got {reply!r}")
+        return reply
+
     async def request_changes(
         self, member: MemberRecord, request: ChangesRequest
     ) -> ChangesReply:
@@ -197,7 +213,7 @@
             log.exception("member request failed unexpectedly")
 
     async def _answer(self, stream: SocketStream, client: Client) -> None:
-        with anyio.fail_after(REQUEST_TIMEOUT_S):
+        with anyio.fail_after(ARRIVAL_TIMEOUT_S):
             data = await _receive(stream, MAX_REQUEST_BYTES, client)
             request = decode_with(_request_decoder.decode, data)
         client.enter(ClientState.SERVING)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -197,7 +197,7 @@
             settings.first_start,
             self._request_release,
         )
-        self.failover_lock.is_known_to_members = self.confirmation.is_known_to_members
+        self.failover_lock.introduce = self.confirmation.introduce
         self.failover_lock.wait_until_stopped = self.confirmation.wait_for_changes
         self.fence_reports = FenceReports(self.store, FENCE_PREFIX)
         self.fence_reporter = FenceReporter(
@@ -408,6 +408,7 @@
             session.end(SHUTDOWN, abandon_transaction=True)
         await self._wait_for_sessions(started_at + grace_s - EXIT_MARGIN_S)
         self.caller_server.stop_listening()
+        self.confirmation.leaving = True
         with anyio.move_on_after(EXIT_MARGIN_S / 2):
             await self.registration.remove()
         log.info("drain ends", took_s=round(boot_time_s() - started_at, 3))
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_requests.py
@@ -12,6 +12,8 @@
     ConfirmationRequest,
     FenceReply,
     FenceRequest,
+    IntroductionReply,
+    IntroductionRequest,
     ReachabilityReply,
     RecordAck,
     RecordNotice,
@@ -85,6 +87,9 @@
             return FenceReply(self.incarnation, position, committed)
         if isinstance(request, ConfirmationRequest):
             return self.confirmation.reply(request)
+        if isinstance(request, IntroductionRequest):
+            self.confirmation.observe_introduction(request.member)
+            return IntroductionReply(self.incarnation)
         if isinstance(request, ReleaseRequest):
             self.failover_lock.invalidate_token(request.token)
             return ReleaseReply(stopped=self.confirmation.changes_in_progress == 0)
