Send no new statements to endpoints that have been leaving for 5 s

What callers saw: new statements went to a leaving primary for as long as nobody replaced it (DRAIN: up to 1 s past drain_ms, until it ended).

Cause: routing followed the record of the primary alone. Nothing on the way of a statement knew that the endpoint was leaving, and since when.

Change: the directory records since when an endpoint leaves. After 5 s it gets no new statement: selection skips it, the check before sending covers statements that waited, the first statement of a transaction counts as new, and relays check the same. If no change of primary runs, the caller hears "not run" at once. Open transactions go on.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -29,6 +29,10 @@
 # running. The bound allows for clocks of servers and proxies that differ by seconds.
 RECENT_START_S = 10.0
 
+# An endpoint that leaves gets no new statement after this time, even if no other one
+# has replaced it. Bounds count from when the endpoint reported it, which is earlier.
+LEAVING_USE_LIMIT_S = 5.0
+
 SAME_DOMAIN_DISTANCE = 0
 SAME_REGION_DISTANCE = 1
 OTHER_REGION_DISTANCE = 2
@@ -77,6 +81,10 @@
         Endpoints by id, including those whose registration was removed recently.
     unregistered_since : dict of str to float
         Boot time at which an endpoint's registration was removed, in seconds.
+    leaving_since : dict of str to float
+        Boot time at which an endpoint was first seen to leave, in seconds.
+    refused : set of str
+        Endpoints that get no new statements because they have been leaving for long.
     pools : dict of str to EndpointPool
         Pools for direct connections.
     outdated_at : float
@@ -108,6 +116,8 @@
         self.clock = clock
         self.endpoints: dict[str, Endpoint] = {}
         self.unregistered_since: dict[str, float] = {}
+        self.leaving_since: dict[str, float] = {}
+        self.refused: set[str] = set()
         self.pools: dict[str, EndpointPool] = {}
         self.outdated_at = float("-inf")
         self.weights: TenantWeights | None = None
@@ -151,6 +161,7 @@
         if known == endpoint:
             return
         self.endpoints[endpoint.id] = endpoint
+        self._record_leaving(endpoint)
         log.info(
             "endpoint observed",
             endpoint=endpoint.id,
@@ -193,6 +204,32 @@
         age_s = self.unix_clock() - endpoint.started_at / 1000.0
         return not endpoint.started_at or age_s < RECENT_START_S
 
+    def _record_leaving(self, endpoint: Endpoint) -> None:
+        """Record since when an endpoint leaves; one that started again does not."""
+        if endpoint.leaving:
+            self.leaving_since.setdefault(endpoint.id, self.clock())
+        else:
+            self.leaving_since.pop(endpoint.id, None)
+            self.refused.discard(endpoint.id)
+
+    def accepts_statements(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint may get new statements.
+
+        One that has been leaving for `LEAVING_USE_LIMIT_S` may not, whether or not
+        another one has replaced it.
+        """
+        since = self.leaving_since.get(endpoint_id)
+        if since is None or self.clock() - since < LEAVING_USE_LIMIT_S:
+            return True
+        if endpoint_id not in self.refused:
+            self.refused.add(endpoint_id)
+            log.warning(
+                "leaving endpoint gets no new statements",
+                endpoint=endpoint_id,
+                leaving_s=round(self.clock() - since, 3),
+            )
+        return False
+
     def mark_unregistered(self, endpoint_id: str) -> None:
         """Record that the registration of an endpoint was removed."""
         if endpoint_id in self.endpoints and endpoint_id not in self.unregistered_since:
@@ -209,6 +246,8 @@
                 )
                 del self.unregistered_since[endpoint_id]
                 del self.endpoints[endpoint_id]
+                self.leaving_since.pop(endpoint_id, None)
+                self.refused.discard(endpoint_id)
                 self.pools.pop(endpoint_id).close()
         for pool in self.pools.values():
             keeps = self.keeps_idle(pool.endpoint)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -323,8 +323,12 @@
             target = self.select(request, session, attempts.tried)
             if target is not None and (now < deadline or not attempts.tried):
                 return target
+            group = request.route.group
+            if target is None and self.selector.is_refused(group):
+                raise StatementFailedError(
+                    Failure.BUSY, f"not run: the primary of group {group} is leaving"
+                )
             if now >= deadline:
-                group = request.route.group
                 raise StatementFailedError(
                     Failure.BUSY, f"not run: no usable endpoint in group {group}"
                 )
@@ -460,7 +464,7 @@
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
                 named = await self.prepare(request.statement, session, pooled)
-                self.check_still_primary(request.route.group, target)
+                self.check_target(request.route.group, target)
                 sent = True
                 sent_at = self.clock()
                 position_before = self.newest_position(request.route.group)
@@ -530,14 +534,24 @@
             return contextlib.nullcontext()
         return self.selector.leadership.track_write(group)
 
-    def check_still_primary(self, group: str, target: Target) -> None:
-        """Check that the target's primary was not replaced while a statement waited.
+    def check_target(self, group: str, target: Target) -> None:
+        """Check that a new statement may be sent to the target that it waited for.
+
+        Parameters
+        ----------
+        group : str
+            Group of the statement.
+        target : Target
+            Endpoint to which it is about to be sent.
 
         Raises
         ------
         RetryError
-            If the target is no longer the primary.
+            If the target is no longer the primary, or has been leaving for long.
         """
+        endpoint = target.pool.endpoint.id
+        if not self.selector.directory.accepts_statements(endpoint):
+            raise RetryError(f"not run: endpoint {endpoint} is leaving")
         if target.record is None:
             return
         if self.selector.leadership.primary(group) != target.record:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -104,8 +104,17 @@
         pool = self.find_pool(record.primary)
         if pool is None or pool.suspect:
             return None
+        if not self.directory.accepts_statements(record.primary):
+            return None
         return Target(pool, record)
 
+    def is_refused(self, group: str) -> bool:
+        """Return whether the primary has left for too long and none replaces it yet."""
+        record = self.leadership.primary(group)
+        if record is None:
+            return False
+        return not self.directory.accepts_statements(record.primary)
+
     def select_read(
         self,
         route: Route,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -172,7 +172,10 @@
         position_before = LogPosition()
         remaining_s = max(request.expires_at - self.executor.clock(), 0.0)
         try:
+            is_first = not self.admitted
             async with self._first_statement_slot(target, request):
+                if is_first:
+                    self._check_not_leaving(target)
                 with anyio.fail_after(remaining_s):
                     named = await self.executor.prepare(statement, self.session, pooled)
                     sent = True
@@ -213,6 +216,16 @@
             )
         return answer
 
+    def _check_not_leaving(self, target: Target) -> None:
+        """Check that an endpoint may still get the transaction's first statement."""
+        endpoint = target.pool.endpoint.id
+        if not self.executor.selector.directory.accepts_statements(endpoint):
+            raise StatementFailedError(
+                Failure.ROLLED_BACK,
+                f"rolled back: endpoint {endpoint} is leaving",
+                endpoint,
+            )
+
     def _first_statement_slot(
         self, target: Target, request: StatementRequest
     ) -> AbstractAsyncContextManager[object]:
@@ -265,7 +278,7 @@
         try:
             with anyio.fail_after(remaining_s):
                 await pooled.set_session_values(self.session.values)
-                self.executor.check_still_primary(self.route.group, target)
+                self.executor.check_target(self.route.group, target)
                 sent_at = self.executor.clock()
                 admission = self.executor.admission_parameters(
                     request, self.session, target, remaining_s
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -45,6 +45,7 @@
 ROLLBACK_TIMEOUT_S = 0.5
 FULL_LOAD = 1.0  # of the slots of an endpoint that refuses statements, at least
 MAX_LOAD_WAIT_S = 0.3  # a relay that cannot load delays a statement no longer
+LEAVING = "the endpoint has been leaving for long"
 NO_TRANSACTION = Unanswered("the transaction has ended")
 
 log = structlog.get_logger(__name__)
@@ -151,8 +152,31 @@
             return Refused(
                 Failure.BUSY, f"endpoint {endpoint_id} does not answer", answers=False
             )
+        if not self.accepts_statements(pool):
+            return Refused(Failure.BUSY, LEAVING)
         return self.check_epoch(pool, admission) or pool
 
+    def check_request(
+        self, pool: EndpointPool, admission: AdmissionParameters
+    ) -> Refused | None:
+        """Return a refusal if a new statement must not be sent to its endpoint.
+
+        Parameters
+        ----------
+        pool : EndpointPool
+            Pool of the endpoint.
+        admission : AdmissionParameters
+            Parameters of the statement; its epoch tells whether the endpoint is the
+            primary.
+        """
+        if not self.accepts_statements(pool):
+            return Refused(Failure.BUSY, LEAVING)
+        return self.check_epoch(pool, admission)
+
+    def accepts_statements(self, pool: EndpointPool) -> bool:
+        """Return whether an endpoint may get new statements."""
+        return self.directory.accepts_statements(pool.endpoint.id)
+
     def check_epoch(
         self, pool: EndpointPool, admission: AdmissionParameters
     ) -> Refused | None:
@@ -168,10 +192,11 @@
         self, pool: EndpointPool, admission: AdmissionParameters
     ) -> bool:
         """Return whether an endpoint is the primary that a statement expects."""
-        record = self.leadership.primary(pool.endpoint.group)
+        endpoint = pool.endpoint
+        record = self.leadership.primary(endpoint.group)
         return (
             record is not None
-            and record.primary == pool.endpoint.id
+            and record.primary == endpoint.id
             and record.epoch == admission.epoch
         )
 
@@ -386,6 +411,10 @@
         try:
             with anyio.fail_after(times.remaining_s(self.service.clock())):
                 await pooled.set_session_values(request.values)
+                refused = self.service.check_request(pool, request.admission)
+                if refused is not None:
+                    pool.release(pooled)
+                    return refused
                 times.sent_at = self.service.clock()
                 answer = await pooled.begin(request.read_only, request.min_position)
         except (UnansweredError, TimeoutError) as error:
@@ -416,8 +445,12 @@
             return NO_TRANSACTION
         times = self._request_times(request.admission)
         lease.busy = True
+        is_first = not lease.admitted
         try:
             async with self._first_slot(lease, request.admission):
+                if is_first and not self.service.accepts_statements(lease.pool):
+                    lease.pooled.broken = True
+                    return Refused(Failure.BUSY, LEAVING)
                 reply = await self._execute(lease.pool, lease.pooled, request, times)
         except OverloadError as error:
             return Refused(Failure.BUSY, str(error))
@@ -465,9 +498,9 @@
                 named = None
                 if request.prepared is not None:
                     named = await pooled.prepare(request.prepared)
-                replaced = self.service.check_epoch(pool, request.admission)
-                if replaced is not None:
-                    return replaced
+                refused = self._check_request(pool, request)
+                if refused is not None:
+                    return refused
                 sent = True
                 times.sent_at = self.service.clock()
                 answer = await pooled.execute(request.statement, named, min_position)
@@ -479,6 +512,15 @@
             return Refused(error.failure, error.reason)
         return self.service.make_reply(pool, request.admission, times, answer)
 
+    def _check_request(
+        self, pool: EndpointPool, request: RunRequest | LeasedRequest
+    ) -> Refused | None:
+        """Return a refusal if a statement must not be sent to its endpoint."""
+        if isinstance(request, LeasedRequest):
+            # The statements of an open transaction belong together.
+            return self.service.check_epoch(pool, request.admission)
+        return self.service.check_request(pool, request.admission)
+
     def _request_times(self, admission: AdmissionParameters) -> _RequestTimes:
         return _RequestTimes(self.service.clock(), admission.remaining_s)
 
