Replace a leaving primary although a member does not answer the fence

What callers saw: a group had no primary for 6 s and more whenever one host stood still or had lost power while its primary left.

Cause: a change of primary waits 6.2 s for a member that does not answer, since it may use the old primary as long as its confirmation is valid. Writes there are refused after the demotion, but reads are not.

Change: a proxy reads a primary for 1.8 s after a confirmation; later it first asks it for its status, which many reads share and which holds for 0.5 s. A demoted primary reports that it does not lead. The holder waits 0.5 s for all members. Then it demotes the old primary, holds the replicas, and promotes one that has every entry which can still be acknowledged. It publishes the new primary when all have answered, or when the members that have not can read the old one no more. Without the old primary's answer, synchronous replicas, or for members of earlier builds, the wait is as before.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -28,6 +28,7 @@
     StatementKind,
 )
 from rosemaryward.decisions.gateway.targets import Target, TargetSelector
+from rosemaryward.decisions.leadership.verification import PrimaryVerifier
 from rosemaryward.decisions.types import LogPosition, Rank
 
 __all__ = [
@@ -166,6 +167,9 @@
         Called with statement, route, endpoint and reason of each failed attempt.
     clock : callable, optional
         Returns the boot time in seconds.
+    verifier : PrimaryVerifier, optional
+        Asks a primary whether it still leads; without it, an old confirmation allows
+        no reads at primaries.
     """
 
     def __init__(
@@ -173,7 +177,9 @@
         selector: TargetSelector,
         attempt_failed: Callable[[Statement, Route, str, str], None],
         clock: Callable[[], float] = boot_time_s,
+        verifier: PrimaryVerifier | None = None,
     ) -> None:
+        self.verifier = verifier
         self.selector = selector
         self.attempt_failed = attempt_failed
         self.clock = clock
@@ -464,7 +470,7 @@
         try:
             with anyio.fail_after(max(attempt_s, 0.0)):
                 named = await self.prepare(request.statement, session, pooled)
-                self.check_target(request.route.group, target)
+                await self.check_target(request.route.group, target, not writes)
                 sent = True
                 sent_at = self.clock()
                 position_before = self.newest_position(request.route.group)
@@ -534,7 +540,7 @@
             return contextlib.nullcontext()
         return self.selector.leadership.track_write(group)
 
-    def check_target(self, group: str, target: Target) -> None:
+    async def check_target(self, group: str, target: Target, only_reads: bool) -> None:
         """Check that a new statement may be sent to the target that it waited for.
 
         Parameters
@@ -543,6 +549,9 @@
             Group of the statement.
         target : Target
             Endpoint to which it is about to be sent.
+        only_reads : bool
+            Whether the statement, or its transaction, only reads. A primary that was
+            replaced refuses writes by itself.
 
         Raises
         ------
@@ -554,11 +563,21 @@
             raise RetryError(f"not run: endpoint {endpoint} is leaving")
         if target.record is None:
             return
+        if only_reads and not target.pool.relayed:
+            epoch = target.record.epoch
+            if not await self._may_read(group, endpoint, epoch):
+                raise RetryError("the primary was not verified before the read")
         if self.selector.leadership.primary(group) != target.record:
             raise RetryError(
                 "the primary was replaced or fenced before the statement ran"
             )
 
+    async def _may_read(self, group: str, endpoint: str, epoch: int) -> bool:
+        """Return whether no commit can be missing from a primary's log."""
+        if self.verifier is None:
+            return self.selector.leadership.may_read(group, endpoint, epoch)
+        return await self.verifier.may_read(group, endpoint, epoch)
+
     def _check_answer(
         self,
         request: StatementRequest,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -178,6 +178,8 @@
         # The log of a replaced primary lacks what the new one has acknowledged.
         if self.leadership.primary(group) != target.record:
             return
+        if not self.leadership.may_read(group, pool.endpoint.id, target.record.epoch):
+            return
         samples = self.group_samples(group)
         for since_sent_s, position in answer.samples or [(0.0, answer.position)]:
             samples.record(sent_at + since_sent_s, position)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/fakes.py
@@ -3,6 +3,7 @@
 import anyio
 import msgspec
 
+from rosemaryward.decisions.errors import EndpointError
 from rosemaryward.decisions.gateway.connections import EndpointPool
 from rosemaryward.decisions.gateway.directory import EndpointDirectory
 from rosemaryward.decisions.gateway.environment import (
@@ -27,7 +28,9 @@
     StatementKind,
 )
 from rosemaryward.decisions.gateway.targets import TargetSelector
+from rosemaryward.decisions.leadership.control import EndpointStatus
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
+from rosemaryward.decisions.leadership.verification import PrimaryVerifier
 from rosemaryward.decisions.types import LogPosition, Place
 
 GROUP = "orders"
@@ -179,6 +182,24 @@
         self.discarded.append(connection)
 
 
+class FakeStatusControl:
+    """Statuses of fake instances; those in `silent` do not answer."""
+
+    def __init__(self, instances):
+        self.instances = {instance.name: instance for instance in instances}
+        self.requests = []
+        self.silent = set()
+
+    async def status(self, endpoint_id):
+        await anyio.lowlevel.checkpoint()
+        self.requests.append(endpoint_id)
+        if endpoint_id in self.silent:
+            raise EndpointError(f"{endpoint_id} does not answer")
+        instance = self.instances[endpoint_id]
+        position = instance.position
+        return EndpointStatus(instance.leads, position.term, position, 0, 0.0, 1)
+
+
 class FakeCallerChannel:
     """Caller that sends statements in sequence and keeps the replies."""
 
@@ -251,8 +272,10 @@
             self.directory, self.leadership, NEAR, self.clock
         )
         self.observer = FakeObserver()
+        self.control = FakeStatusControl([self.primary, self.near, self.far])
+        self.verifier = PrimaryVerifier(self.leadership, self.control, self.clock)
         self.executor = Executor(
-            self.selector, self.observer.attempt_failed, self.clock
+            self.selector, self.observer.attempt_failed, self.clock, self.verifier
         )
         self.route = make_route(policy, **route)
         self.environment = Environment(
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_targets.py
@@ -19,7 +19,10 @@
     make_endpoint,
     make_record,
 )
-from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
+from rosemaryward.decisions.leadership.records import (
+    CONFIRMATION_VALIDITY_S,
+    UNVERIFIED_READ_S,
+)
 from rosemaryward.decisions.types import LogPosition
 
 NONE = LogPosition()
@@ -253,6 +256,7 @@
         pytest.param("fenced", False, id="fenced"),
         pytest.param("replaced", False, id="replaced"),
         pytest.param("unconfirmed", False, id="unconfirmed"),
+        pytest.param("unverified", False, id="unverified"),
     ],
 )
 def test_only_answers_of_the_usable_primary_are_samples(replacement, sampled):
@@ -265,6 +269,8 @@
         harness.leadership.observe(GROUP, make_record(epoch=2, primary="i-2"), 2)
     elif replacement == "unconfirmed":
         harness.clock.now += CONFIRMATION_VALIDITY_S
+    elif replacement == "unverified":
+        harness.clock.now += UNVERIFIED_READ_S
     answer = Answer([], "-", ConnectionState.IDLE, LogPosition(1, 10))
     harness.selector.record_answer(target, harness.clock(), answer)
     assert bool(harness.selector.group_samples(GROUP).samples) is sampled
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -278,7 +278,9 @@
         try:
             with anyio.fail_after(remaining_s):
                 await pooled.set_session_values(self.session.values)
-                self.executor.check_target(self.route.group, target)
+                await self.executor.check_target(
+                    self.route.group, target, self.read_only
+                )
                 sent_at = self.executor.clock()
                 admission = self.executor.admission_parameters(
                     request, self.session, target, remaining_s
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/candidates.py
@@ -120,6 +120,29 @@
         self.last_decision = decision
         return best if is_chosen else None
 
+    def complete_replicas(
+        self, primary: str, demoted: EndpointStatus, held: EndpointStatuses
+    ) -> list[str]:
+        """Return the replicas that have all that a demoted primary can acknowledge.
+
+        An entry that none of the held replicas has received cannot be acknowledged any
+        more.
+
+        Parameters
+        ----------
+        primary : str
+            Id of the demoted primary.
+        demoted : EndpointStatus
+            Its status since.
+        held : EndpointStatuses
+            Statuses of the replicas, which receive nothing more.
+        """
+        others = self._replica_set().keys() - {primary}
+        required = demoted.received
+        if others and others <= held.answered.keys():
+            required = max(status.received for status in held.answered.values())
+        return [e for e, s in held.answered.items() if s.received >= required]
+
     def _newest_acknowledged(self, reported: LogPosition | None) -> LogPosition | None:
         """Return a position that includes all acknowledged writes, None if unknown.
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/change.py
@@ -1,5 +1,6 @@
 """Change of a group's primary: announce, fence, promote, publish."""
 
+import math
 from collections.abc import Callable
 
 import anyio
@@ -26,6 +27,8 @@
 )
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_VALIDITY_S,
+    UNVERIFIED_READ_S,
+    VERIFICATION_VALIDITY_S,
     GroupRecord,
 )
 from rosemaryward.decisions.types import LogPosition
@@ -36,6 +39,7 @@
 ]
 
 CONFIRMATION_MARGIN_S = 0.2  # clock drift between hosts during one confirmation
+PROMPT_FENCE_S = 0.5  # most members answer by then
 POSITION_RETRY_S = 0.1
 CATCH_UP_TIMEOUT_S = 0.3  # for entries of a demoted primary that are in transit
 STATUS_POLL_INTERVAL_S = 0.03
@@ -58,6 +62,21 @@
     term: int
 
 
+class _Demotion(msgspec.Struct, frozen=True):
+    """Demotion that the old primary has confirmed.
+
+    Parameters
+    ----------
+    at : float
+        Boot time of the answer, in seconds.
+    started_at : int
+        Start of the endpoint's process; one that starts again may lead again.
+    """
+
+    at: float
+    started_at: int
+
+
 class PrimaryChange:
     """One change of the primary of a group.
 
@@ -82,6 +101,8 @@
         Store revision of the record that announced the change.
     old_primary_silent : bool
         Whether the old primary is assumed not to answer.
+    demotion : _Demotion or None
+        Demotion of the old primary before all members were fenced.
     candidates : CandidateSelector
         Selects the endpoint to promote.
     pending : PendingPromotions
@@ -102,6 +123,7 @@
         self.all_members_fenced = False
         self.revision = 0
         self.old_primary_silent = False
+        self.demotion: _Demotion | None = None
         self.candidates = CandidateSelector(group, context)
         self.pending = context.leadership.pending_promotions
 
@@ -132,9 +154,12 @@
         started_at = self.clock()
         record = await self._announce(reason)
         announced_at = self.clock()
-        await self._fence_members(record, announced_at)
+        primary = await self._fence_members(record, announced_at)
         fenced_at = self.clock()
-        primary = await self._find_promoted(record) or await self._promote_best(record)
+        if primary is None:
+            primary = await self._find_promoted(record)
+        if primary is None:
+            primary = await self._promote_best(record)
         await self._publish(record, primary)
         log.info(
             "primary changed",
@@ -179,8 +204,16 @@
         self.context.leadership.observe(self.group, record, self.revision)
         return record
 
-    async def _fence_members(self, record: GroupRecord, announced_at: float) -> None:
-        """Wait until no member can use the old primary any more."""
+    async def _fence_members(
+        self, record: GroupRecord, announced_at: float
+    ) -> _Promoted | None:
+        """Wait until no member can use the old primary any more.
+
+        Returns
+        -------
+        _Promoted or None
+            Endpoint that was promoted meanwhile, because some members do not answer.
+        """
         all_known = self.context.members.are_all_known()
         # A member that registers after this read has seen the announcement.
         await self.context.refresh_members()
@@ -192,21 +225,143 @@
             self.context.lock.is_held,
             self.clock,
         )
-        all_answered = await fence.run(
-            announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
-        )
+        promoted = None
+        if not await fence.run(announced_at + PROMPT_FENCE_S):
+            promoted = await self._continue_fence(
+                record, fence, announced_at, may_promote=all_known
+            )
         self._check_lock()
         self.acknowledged = fence.acknowledged
         self.committed = fence.committed
-        self.all_members_fenced = all_known and all_answered
-        if not all_answered:
+        self.all_members_fenced = all_known and fence.is_complete()
+        if not self.all_members_fenced:
             log.warning(
                 "members not fenced",
                 group=self.group,
                 epoch=record.epoch,
                 members=[member.name for member in fence.unfenced()],
-                waited_s=CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S,
+                waited_s=round(self.clock() - announced_at, 3),
+                promoted=None if promoted is None else promoted.endpoint_id,
             )
+        return promoted
+
+    async def _continue_fence(
+        self,
+        record: GroupRecord,
+        fence: MemberFence,
+        announced_at: float,
+        may_promote: bool,
+    ) -> _Promoted | None:
+        """Go on with the fence, and promote an endpoint meanwhile if that is safe."""
+        promoted: _Promoted | None = None
+        failure: RosemarywardError | None = None
+        until = announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(fence.run, until)
+            try:
+                if may_promote:
+                    promoted = await self._promote_during_fence(record, fence)
+                if promoted is not None:
+                    await self._wait_until_unread(record, promoted, fence, announced_at)
+            except RosemarywardError as error:
+                failure = error
+            if promoted is not None or failure is not None:
+                tasks.cancel_scope.cancel()
+        if failure is not None:
+            raise failure
+        return promoted
+
+    async def _promote_during_fence(
+        self, record: GroupRecord, fence: MemberFence
+    ) -> _Promoted | None:
+        """Promote an endpoint that has all that the demoted primary can acknowledge.
+
+        Members that do not answer may still send writes to the old primary, and have
+        them acknowledged, until it is demoted.
+
+        Returns
+        -------
+        _Promoted or None
+            None if the change has to wait until all members are fenced.
+        """
+        if self.old_primary_silent or not self.context.sync_replicas(self.group):
+            return None
+        promoted = await self._find_promoted(record)
+        if promoted is not None:
+            await self._demote_early(record.primary, promoted.term)
+            return promoted
+        if self.pending.endpoints(self.group):
+            return None
+        statuses = await self._query_endpoints(
+            self._other_ids(record), self.context.control.status
+        )
+        term = self._next_term(statuses, record)
+        demoted = await self._demote_early(record.primary, term)
+        if demoted is None:
+            return None
+        await self._wait_for_entries(record, demoted)
+        # One that returns as a primary after a crash gets no commits confirmed.
+        statuses = await self._hold_replicas(self._other_ids(record), term)
+        complete = self.candidates.complete_replicas(record.primary, demoted, statuses)
+        statuses.answered[record.primary] = demoted
+        best = self.candidates.choose(statuses, complete, None, fence.committed)
+        if best is None:
+            return None
+        new_term = await self._promote(best, record)
+        return None if new_term is None else _Promoted(best, new_term)
+
+    async def _demote_early(self, endpoint_id: str, term: int) -> EndpointStatus | None:
+        """Demote the old primary; return its status, None if it may still lead."""
+        self.demotion = None
+        demoted = await self._demote(endpoint_id, term)
+        endpoint = self.context.directory.endpoints.get(endpoint_id)
+        if demoted is None or demoted.is_primary or endpoint is None:
+            return None
+        self.demotion = _Demotion(self.clock(), endpoint.started_at)
+        return demoted
+
+    async def _wait_until_unread(
+        self,
+        record: GroupRecord,
+        promoted: _Promoted,
+        fence: MemberFence,
+        announced_at: float,
+    ) -> None:
+        """Wait until members that have not been fenced read the old primary no more.
+
+        They verify that it leads once their confirmation is `UNVERIFIED_READ_S` old,
+        so the wait is short if it has been demoted.
+        """
+        until = announced_at + CONFIRMATION_VALIDITY_S + CONFIRMATION_MARGIN_S
+        while not fence.is_complete() and self.clock() < until:
+            self._check_lock()
+            unread_at = self._unread_at(fence, announced_at)
+            is_due = unread_at <= self.clock()
+            if is_due and await self._stays_demoted(record.primary, promoted.term):
+                return
+            wait_s = max(unread_at - self.clock(), STATUS_POLL_INTERVAL_S)
+            await anyio.sleep(min(wait_s, POSITION_RETRY_S))
+
+    def _unread_at(self, fence: MemberFence, announced_at: float) -> float:
+        """Return when no member without a fence reads the old primary any more."""
+        may_trust_longer = not all(m.verifies_reads for m in fence.unfenced())
+        if self.demotion is None or may_trust_longer:
+            return math.inf
+        trusted_until = announced_at + UNVERIFIED_READ_S
+        verified_until = self.demotion.at + VERIFICATION_VALIDITY_S
+        return max(trusted_until, verified_until) + CONFIRMATION_MARGIN_S
+
+    async def _stays_demoted(self, endpoint_id: str, term: int) -> bool:
+        """Return whether the old primary is the process that was demoted."""
+        earlier = self.demotion
+        if await self._demote_early(endpoint_id, term) is None:
+            return False
+        assert earlier is not None
+        assert self.demotion is not None
+        if self.demotion.started_at != earlier.started_at:
+            return False
+        self.demotion = earlier
+        return True
 
     async def _find_promoted(self, record: GroupRecord) -> _Promoted | None:
         """Return an endpoint that an interrupted change has already promoted.
@@ -311,10 +466,7 @@
         """Ensure that the old primary confirms no more commits; read the statuses."""
         replica_ids = self._other_ids(record)
         statuses = await self._query_endpoints(replica_ids, self.context.control.status)
-        newest = max(
-            (self._newest_term(s) for s in statuses.answered.values()), default=0
-        )
-        term = max(newest, record.term) + 1
+        term = self._next_term(statuses, record)
         await self._demote_replaced(statuses, record, term)
         if self.old_primary_silent:
             # Without receiving replicas it cannot confirm commits, reachable or not.
@@ -323,19 +475,30 @@
         if demoted is None:
             self.old_primary_silent = True
             return await self._hold_replicas(replica_ids, term)
+        # Entries that were confirmed before the demotion are in these statuses.
+        statuses = await self._wait_for_entries(record, demoted)
+        statuses.answered[record.primary] = demoted
+        return statuses
+
+    async def _wait_for_entries(
+        self, record: GroupRecord, demoted: EndpointStatus
+    ) -> EndpointStatuses:
+        """Return the replicas' statuses, after a short wait for the primary's log."""
         deadline = self.clock() + CATCH_UP_TIMEOUT_S
         while True:
-            # Entries that were confirmed before the demotion are in these statuses.
             statuses = await self._query_endpoints(
-                replica_ids, self.context.control.status
+                self._other_ids(record), self.context.control.status
             )
             best = max((s.received for s in statuses.answered.values()), default=None)
             caught_up = best is not None and best >= demoted.received
             if caught_up or self.clock() >= deadline:
-                break
+                return statuses
             await anyio.sleep(STATUS_POLL_INTERVAL_S)
-        statuses.answered[record.primary] = demoted
-        return statuses
+
+    def _next_term(self, statuses: EndpointStatuses, record: GroupRecord) -> int:
+        """Return a term above those of the group's endpoints."""
+        terms = [self._newest_term(status) for status in statuses.answered.values()]
+        return max([record.term, *terms]) + 1
 
     async def _demote_replaced(
         self, statuses: EndpointStatuses, record: GroupRecord, term: int
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/fencing.py
@@ -51,6 +51,8 @@
         Newest position that an acknowledged write has at least, reported likewise.
     fenced : set of str
         Incarnations of the processes that have stopped.
+    asking : set of str
+        Incarnations of the processes that a request is on its way to.
     confirmed : anyio.Event
         Set, then replaced, whenever a process has stopped.
     """
@@ -73,6 +75,7 @@
         self.acknowledged = LogPosition()
         self.committed = LogPosition()
         self.fenced: set[str] = set()
+        self.asking: set[str] = set()
         self.confirmed = anyio.Event()
 
     async def run(self, until: float) -> bool:
@@ -110,12 +113,17 @@
         ]
 
     async def _request_fences(self) -> None:
-        """Ask the members that have not stopped, until cancelled."""
-        while True:
-            async with anyio.create_task_group() as tasks:
+        """Ask the members that have not stopped, until cancelled.
+
+        A request to one that does not answer delays no further request to the others.
+        """
+        async with anyio.create_task_group() as tasks:
+            while True:
                 for member in self.unfenced():
-                    tasks.start_soon(self._fence_member, member)
-            await anyio.sleep(FENCE_RETRY_S)
+                    if member.incarnation not in self.asking:
+                        self.asking.add(member.incarnation)
+                        tasks.start_soon(self._fence_member, member)
+                await anyio.sleep(FENCE_RETRY_S)
 
     async def _fence_member(self, member: MemberRecord) -> None:
         """Fence a member and record its reply if it answers."""
@@ -128,6 +136,8 @@
                 error=str(error),
             )
             return
+        finally:
+            self.asking.discard(member.incarnation)
         # A new process at the old address has none of its predecessor's confirmations,
         # and does not know what its predecessor has seen acknowledged.
         if reply.incarnation != member.incarnation:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -12,10 +12,21 @@
 from rosemaryward.decisions.mirror.store import generation_of
 from rosemaryward.decisions.types import LogPosition
 
-__all__ = ["CONFIRMATION_VALIDITY_S", "GroupRecord", "Leadership", "first_epoch"]
+__all__ = [
+    "CONFIRMATION_VALIDITY_S",
+    "UNVERIFIED_READ_S",
+    "VERIFICATION_VALIDITY_S",
+    "GroupRecord",
+    "Leadership",
+    "first_epoch",
+]
 
 # A change of primary waits this long for a member that it cannot reach.
 CONFIRMATION_VALIDITY_S = 6.0
+# A primary is read without further checks only for this long after a confirmation, so
+# that a change of primary need not wait for the rest of the confirmation's validity.
+UNVERIFIED_READ_S = 1.8
+VERIFICATION_VALIDITY_S = 0.5  # after the request for the status of a primary
 WRITE_DRAIN_TIMEOUT_S = 0.15
 EPOCH_BITS = 20  # changes of one group's primary within a generation of the store
 
@@ -80,6 +91,9 @@
         Boot time as of which records were last confirmed.
     confirmations : dict of int to float
         The same for the records of each generation.
+    verified_at : dict of str to float
+        Boot time at which the status was requested that last showed an endpoint to
+        lead its group, by endpoint.
     fence_epochs : dict of str to int
         Epoch of each group below which its primary must not be used.
     closed_epochs : dict of str to int
@@ -116,6 +130,7 @@
         "records",
         "revisions",
         "running_writes",
+        "verified_at",
         "write_ended",
     )
 
@@ -134,6 +149,7 @@
         self.generation = 0
         self.confirmed_at = float("-inf")
         self.confirmations: dict[int, float] = {}
+        self.verified_at: dict[str, float] = {}
         self.change_listeners: list[Callable[[str], None]] = []
 
     def observe(self, group: str, record: GroupRecord, revision: int) -> None:
@@ -349,11 +365,53 @@
             return None
         return record
 
+    def may_read(self, group: str, endpoint: str, epoch: int) -> bool:
+        """Return whether no commit can be missing from a primary's log.
+
+        A primary that has been replaced refuses writes, but not reads.
+
+        Parameters
+        ----------
+        group : str
+            Group of the primary.
+        endpoint : str
+            Id of the primary.
+        epoch : int
+            Epoch of the record that makes the endpoint the primary.
+        """
+        now = self.clock()
+        record = self.primary(group)
+        is_current = record is not None and (record.primary, record.epoch) == (
+            endpoint,
+            epoch,
+        )
+        if is_current and now < self._confirmed_at(epoch) + UNVERIFIED_READ_S:
+            return True
+        verified_at = self.verified_at.get(endpoint, float("-inf"))
+        return now < verified_at + VERIFICATION_VALIDITY_S
+
+    def record_verification(self, endpoint: str, sent_at: float) -> None:
+        """Record that an endpoint has reported that it leads its group.
+
+        Parameters
+        ----------
+        endpoint : str
+            Id of the endpoint.
+        sent_at : float
+            Boot time at which its status was requested, in seconds.
+        """
+        oldest = self.clock() - VERIFICATION_VALIDITY_S
+        self.verified_at = {e: at for e, at in self.verified_at.items() if at > oldest}
+        known = self.verified_at.get(endpoint, float("-inf"))
+        self.verified_at[endpoint] = max(known, sent_at)
+
+    def _confirmed_at(self, epoch: int) -> float:
+        """Return as of when a read of an epoch's own generation confirms its record."""
+        return self.confirmations.get(epoch >> EPOCH_BITS, float("-inf"))
+
     def _is_confirmed(self, epoch: int) -> bool:
         """Return whether a read of an epoch's own generation confirms its record."""
-        generation = epoch >> EPOCH_BITS
-        confirmed_at = self.confirmations.get(generation, float("-inf"))
-        return self.clock() < confirmed_at + CONFIRMATION_VALIDITY_S
+        return self.clock() < self._confirmed_at(epoch) + CONFIRMATION_VALIDITY_S
 
 
 def _order(record: GroupRecord) -> tuple[int, bool]:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_change.py
@@ -1,8 +1,10 @@
 import contextlib
 
 import anyio
+import msgspec
 import pytest
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.tests.fakes import (
     FAR,
     GROUP,
@@ -13,7 +15,10 @@
 from rosemaryward.decisions.leadership import fencing
 from rosemaryward.decisions.leadership.change import ChangeAbandonedError
 from rosemaryward.decisions.leadership.records import CONFIRMATION_VALIDITY_S
-from rosemaryward.decisions.leadership.replica_sets import ReplicaSets
+from rosemaryward.decisions.leadership.replica_sets import (
+    ReplicaSetRecord,
+    ReplicaSets,
+)
 from rosemaryward.decisions.leadership.tests.fakes import ChangeScenario, member, status
 from rosemaryward.decisions.types import LogPosition
 
@@ -352,3 +357,119 @@
     assert name == "proxy-2"
     assert record.serving
     assert revision == run.writer.revision
+
+
+class UnreachableMemberScenario(ChangeScenario):
+    """Change of a primary that answers, while the second member does not."""
+
+    def __init__(self, statuses, verifies_reads=True):
+        super().__init__(statuses)
+        silent = msgspec.structs.replace(
+            member("proxy-2"), verifies_reads=verifies_reads
+        )
+        self.members.remove("proxy-2")
+        self.members.observe(silent, 9)
+        self.members.mark_alive("proxy-2")
+        del self.peers.fenced["proxy-2"]
+        self.replica_sets.observe(GROUP, ReplicaSetRecord(self._addresses()), 1)
+
+    def _addresses(self):
+        return {e.id: e.address for e in self.directory.endpoints.values()}
+
+
+OLD = status(1, 9)
+SHORT_FENCE = {
+    "PROMPT_FENCE_S": 0.05,
+    "UNVERIFIED_READ_S": 0.2,
+    "VERIFICATION_VALIDITY_S": 0.05,
+    "CONFIRMATION_VALIDITY_S": 1.0,
+}
+
+
+@pytest.mark.parametrize(
+    ("statuses", "changes", "early"),
+    [
+        pytest.param({"i-1": OLD, "i-2": status(1, 9)}, {}, True, id="same-log"),
+        pytest.param(
+            {"i-1": OLD, "i-2": status(1, 8), "i-3": status(1, 7)},
+            {},
+            True,
+            id="nobody-has-its-last-entries",
+        ),
+        pytest.param(
+            {"i-1": OLD, "i-2": status(1, 8)},
+            {},
+            False,
+            id="a-silent-one-may-have-them",
+        ),
+        pytest.param({"i-2": status(1, 9)}, {}, False, id="primary-does-not-answer"),
+        pytest.param(
+            {"i-1": status(3, 9, is_primary=True), "i-2": status(1, 9)},
+            {},
+            False,
+            id="primary-is-not-demoted",
+        ),
+        pytest.param(
+            {"i-1": OLD, "i-2": status(1, 9)},
+            {"sync_replicas": 0},
+            False,
+            id="commits-need-no-replica",
+        ),
+        pytest.param(
+            {"i-1": OLD, "i-2": status(1, 9)},
+            {"verifies_reads": False},
+            False,
+            id="member-of-an-earlier-build",
+        ),
+    ],
+)
+async def test_primary_is_replaced_before_a_silent_member_is_unconfirmed(
+    monkeypatch, statuses, changes, early
+):
+    """Guards against seconds without a primary whenever one host does not answer."""
+    for name, value in SHORT_FENCE.items():
+        monkeypatch.setattr(change_module, name, value)
+    run = UnreachableMemberScenario(statuses, changes.get("verifies_reads", True))
+    run.sync_replicas = changes.get("sync_replicas", 1)
+    started_at = boot_time_s()
+    with contextlib.suppress(ChangeAbandonedError):
+        await run.run()
+    published_s = boot_time_s() - started_at
+    record = run.leadership.records[GROUP]
+    assert (record.serving and published_s < 0.9) is early
+    assert published_s >= 0.2
+
+
+async def test_primary_that_started_again_after_its_demotion_is_demoted_again(
+    monkeypatch,
+):
+    """Guards against reads at a primary that leads again after a crash."""
+    for name, value in SHORT_FENCE.items():
+        monkeypatch.setattr(change_module, name, value)
+    run = UnreachableMemberScenario({"i-1": OLD, "i-2": status(1, 9)})
+    promote = run.promoter.promote
+
+    async def start_old_primary_again(*arguments):
+        run.directory.observe(make_endpoint("i-1", FAR, started_at=7))
+        return await promote(*arguments)
+
+    run.promoter.promote = start_old_primary_again
+    await run.run()
+    demotions = [call for call in run.control.calls if call == ("demote", "i-1")]
+    assert len(demotions) >= 3
+    assert run.leadership.records[GROUP].primary == "i-2"
+
+
+async def test_error_during_an_unfinished_fence_ends_the_change(monkeypatch):
+    """Guards against a group of errors that nobody handles."""
+    for name, value in SHORT_FENCE.items():
+        monkeypatch.setattr(change_module, name, value)
+    run = UnreachableMemberScenario({"i-1": OLD, "i-2": status(1, 9)})
+
+    async def lose_lock(*arguments):
+        run.lock.held = False
+        return True
+
+    run.promoter.promote = lose_lock
+    with pytest.raises(ChangeAbandonedError):
+        await run.run()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -21,8 +21,12 @@
     Failure,
     UnansweredError,
 )
-from rosemaryward.decisions.gateway.statements import AdmissionParameters
+from rosemaryward.decisions.gateway.statements import (
+    AdmissionParameters,
+    StatementKind,
+)
 from rosemaryward.decisions.leadership.records import Leadership
+from rosemaryward.decisions.leadership.verification import PrimaryVerifier
 from rosemaryward.decisions.quota import Allocator, LendRequest, ShareDonation
 from rosemaryward.decisions.relays.messages import (
     Answered,
@@ -66,6 +70,9 @@
         Returns the boot time in seconds.
     wait_until_loaded : callable, optional
         Waits until the registered endpoints are known after the start.
+    verifier : PrimaryVerifier, optional
+        Asks a primary whether it still leads; without it, an old confirmation allows
+        no reads at primaries.
 
     Attributes
     ----------
@@ -86,7 +93,9 @@
         samples: Callable[[str], PositionSamples],
         clock: Callable[[], float] = boot_time_s,
         wait_until_loaded: Callable[[], Awaitable[object]] = anyio.lowlevel.checkpoint,
+        verifier: PrimaryVerifier | None = None,
     ) -> None:
+        self.verifier = verifier
         self.wait_until_loaded = wait_until_loaded
         self.directory = directory
         self.leadership = leadership
@@ -156,8 +165,8 @@
             return Refused(Failure.BUSY, LEAVING)
         return self.check_epoch(pool, admission) or pool
 
-    def check_request(
-        self, pool: EndpointPool, admission: AdmissionParameters
+    async def check_request(
+        self, pool: EndpointPool, admission: AdmissionParameters, only_reads: bool
     ) -> Refused | None:
         """Return a refusal if a new statement must not be sent to its endpoint.
 
@@ -168,11 +177,30 @@
         admission : AdmissionParameters
             Parameters of the statement; its epoch tells whether the endpoint is the
             primary.
+        only_reads : bool
+            Whether the statement, or its transaction, only reads.
         """
+        if admission.epoch and only_reads and not await self._may_read(pool, admission):
+            return Refused(
+                Failure.NOT_PRIMARY, "the primary was not verified before the read"
+            )
         if not self.accepts_statements(pool):
             return Refused(Failure.BUSY, LEAVING)
         return self.check_epoch(pool, admission)
 
+    async def _may_read(
+        self, pool: EndpointPool, admission: AdmissionParameters
+    ) -> bool:
+        """Return whether no commit can be missing from a primary's log."""
+        endpoint = pool.endpoint
+        if self.verifier is None:
+            return self.leadership.may_read(
+                endpoint.group, endpoint.id, admission.epoch
+            )
+        return await self.verifier.may_read(
+            endpoint.group, endpoint.id, admission.epoch
+        )
+
     def accepts_statements(self, pool: EndpointPool) -> bool:
         """Return whether an endpoint may get new statements."""
         return self.directory.accepts_statements(pool.endpoint.id)
@@ -198,6 +226,7 @@
             record is not None
             and record.primary == endpoint.id
             and record.epoch == admission.epoch
+            and self.leadership.may_read(endpoint.group, endpoint.id, record.epoch)
         )
 
     def make_reply(
@@ -411,7 +440,9 @@
         try:
             with anyio.fail_after(times.remaining_s(self.service.clock())):
                 await pooled.set_session_values(request.values)
-                refused = self.service.check_request(pool, request.admission)
+                refused = await self.service.check_request(
+                    pool, request.admission, request.read_only
+                )
                 if refused is not None:
                     pool.release(pooled)
                     return refused
@@ -498,7 +529,7 @@
                 named = None
                 if request.prepared is not None:
                     named = await pooled.prepare(request.prepared)
-                refused = self._check_request(pool, request)
+                refused = await self._check_request(pool, request)
                 if refused is not None:
                     return refused
                 sent = True
@@ -512,14 +543,19 @@
             return Refused(error.failure, error.reason)
         return self.service.make_reply(pool, request.admission, times, answer)
 
-    def _check_request(
+    async def _check_request(
         self, pool: EndpointPool, request: RunRequest | LeasedRequest
     ) -> Refused | None:
         """Return a refusal if a statement must not be sent to its endpoint."""
         if isinstance(request, LeasedRequest):
             # The statements of an open transaction belong together.
             return self.service.check_epoch(pool, request.admission)
-        return self.service.check_request(pool, request.admission)
+        statement = request.statement
+        is_write = statement.kind is StatementKind.WRITE
+        is_prepared_write = request.prepared is not None and request.prepared.writes
+        return await self.service.check_request(
+            pool, request.admission, not (is_write or is_prepared_write)
+        )
 
     def _request_times(self, admission: AdmissionParameters) -> _RequestTimes:
         return _RequestTimes(self.service.clock(), admission.remaining_s)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/fakes.py
@@ -77,13 +77,13 @@
 
     def __init__(self, connection_limit=1, **arguments):
         super().__init__(**arguments)
-        self.relay = GatewayHarness(**arguments)
-        self.relay.clock = self.clock
+        self.relay = GatewayHarness(**{"clock": self.clock} | arguments)
         self.service = RelayService(
             self.relay.directory,
             self.relay.leadership,
             self.relay.selector.group_samples,
             self.clock,
+            verifier=self.relay.verifier,
         )
         self.link_provider = FakeLinkProvider(self.service)
         members = members_of(
@@ -101,7 +101,7 @@
             self.directory, self.leadership, NEAR, self.clock, self.pools.pool
         )
         self.executor = Executor(
-            self.selector, self.observer.attempt_failed, self.clock
+            self.selector, self.observer.attempt_failed, self.clock, self.verifier
         )
 
     def _close(self, connection):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -3,6 +3,7 @@
 
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.connections import UNREACHABLE_AVOIDANCE_S
+from rosemaryward.decisions.gateway.directory import LEAVING_USE_LIMIT_S
 from rosemaryward.decisions.gateway.environment import ReadPolicy
 from rosemaryward.decisions.gateway.outcomes import (
     ConnectError,
@@ -11,10 +12,13 @@
 )
 from rosemaryward.decisions.gateway.statements import AdmissionParameters
 from rosemaryward.decisions.gateway.tests.fakes import (
+    FAR,
     GROUP,
+    make_endpoint,
     make_record,
     parse_statement,
 )
+from rosemaryward.decisions.leadership.records import UNVERIFIED_READ_S
 from rosemaryward.decisions.relays.messages import (
     Answered,
     BeginRequest,
@@ -372,3 +376,70 @@
     control = await pool.acquire(0.1, ignore_cap=True)
     pool.release(control)
     pool.release(held)
+
+
+@pytest.mark.parametrize(
+    ("leads", "refusal"),
+    [pytest.param(True, None, id="leads"), pytest.param(False, "READ", id="demoted")],
+)
+@pytest.mark.parametrize("request_kind", ["run", "begin"])
+async def test_relay_verifies_a_primary_before_reads(leads, refusal, request_kind):
+    """Guards against a relay without a fence that reads at a replaced primary."""
+    harness = RelayedGatewayHarness()
+    harness.clock.now += UNVERIFIED_READ_S + 0.1
+    harness.relay.primary.leads = leads
+    session = harness.service.session("proxy-1")
+    if request_kind == "run":
+        request = RunRequest(
+            "i-1", parse_statement("READ k"), {}, None, None, ADMISSION
+        )
+    else:
+        request = BeginRequest("i-1", 1, True, {}, None, ADMISSION)
+    reply = await session.handle(request)
+    assert isinstance(reply, Refused) is (refusal is not None)
+    assert bool(texts_at_relay(harness)) is leads
+    assert harness.relay.control.requests == ["i-1"]
+
+
+async def test_relay_sends_writes_without_verification():
+    """Guards against a status request for statements that a replica refuses."""
+    harness = RelayedGatewayHarness()
+    harness.clock.now += UNVERIFIED_READ_S + 0.1
+    session = harness.service.session("proxy-1")
+    statement = parse_statement("WRITE k v")
+    reply = await session.handle(
+        RunRequest("i-1", statement, {}, None, None, ADMISSION)
+    )
+    assert isinstance(reply, Answered)
+    assert not harness.relay.control.requests
+
+
+def leave_for_long(harness):
+    harness.relay.directory.observe(make_endpoint("i-1", FAR, leaving=True))
+    harness.clock.now += LEAVING_USE_LIMIT_S
+    harness.relay.leadership.confirm(harness.clock())
+
+
+async def test_relay_refuses_new_statements_for_an_endpoint_that_leaves_for_long():
+    """Guards against new work that a relay's queue holds past the bound."""
+    harness = RelayedGatewayHarness()
+    reply = await run_after_slot_wait(
+        harness, "WRITE k v", lambda: leave_for_long(harness)
+    )
+    assert isinstance(reply, Refused)
+    assert texts_at_relay(harness) == []
+
+
+@pytest.mark.parametrize("sent_before", [False, True])
+async def test_relayed_transaction_at_a_leaving_endpoint(sent_before):
+    """Guards against a first statement past the bound, and against cut transactions."""
+    harness = RelayedGatewayHarness()
+    session = harness.service.session("proxy-1")
+    await begin(session)
+    request = LeasedRequest(1, parse_statement("WRITE k v"), {}, None, ADMISSION)
+    if sent_before:
+        assert isinstance(await session.handle(request), Answered)
+    leave_for_long(harness)
+    reply = await session.handle(request)
+    assert isinstance(reply, Answered) is sent_before
+    assert (harness.service.running == 0) is not sent_before
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -32,6 +32,7 @@
 from rosemaryward.decisions.leadership.records import GroupRecord, Leadership
 from rosemaryward.decisions.leadership.replica_sets import ReplicaSetRecord, ReplicaSets
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
+from rosemaryward.decisions.leadership.verification import PrimaryVerifier
 from rosemaryward.decisions.mirror import (
     READER_MAX_READ_AGE_S,
     STORE_SOURCE,
@@ -143,6 +144,7 @@
             keeps_idle=self._keeps_idle_connections,
         )
         self.group_control = LineGroupControl(self.directory)
+        self.primary_verifier = PrimaryVerifier(self.leadership, self.group_control)
         self.endpoint_prober = EndpointProber(
             self.directory, self.group_control, self.relay_selector.is_relay
         )
@@ -171,12 +173,15 @@
             self.leadership,
             self.target_selector.group_samples,
             wait_until_loaded=lambda: self.mirror.loaded.wait(),
+            verifier=self.primary_verifier,
         )
         self.relay_server = RelayServer(
             settings.relay_address, self.relay_service, self.limits.peers
         )
         self.executor = Executor(
-            self.target_selector, self.statement_log.attempt_failed
+            self.target_selector,
+            self.statement_log.attempt_failed,
+            verifier=self.primary_verifier,
         )
         self.reader_failures = ReaderFailures()
         self.confirmation = Confirmation(
@@ -216,6 +221,7 @@
                 settings.relay_address,
                 settings.place,
                 relay_capacity(settings.cores, settings.link_mbps),
+                verifies_reads=True,
             ),
             self.store,
             self.members,
