Give open transactions the first half of the grace period

What callers saw: at SIGTERM, open transactions were rolled back after 2.7 s, where the rule gives them 3.0 s (DRAIN).

Cause: TRANSACTION_GRACE_FRACTION was 0.45.

Evidence: test_open_transaction_has_the_first_half_of_the_grace_period fails with 0.45.

Change: the fraction is one half; what remains of the grace period is as before.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -89,7 +89,7 @@
 EXIT_MARGIN_S = 0.7  # end of the grace period, kept for releasing the lock
 SHUTDOWN = "the proxy is shutting down"
 UNCONFIRMED = "the proxy cannot confirm the primaries"
-TRANSACTION_GRACE_FRACTION = 0.45  # of the grace period, for open transactions
+TRANSACTION_GRACE_FRACTION = 0.5  # of the grace period, for open transactions
 NO_ENVIRONMENT = Environment(version=0, routes={}, groups={}, transaction_idle_s=3.0)
 
 # A follower asks every 1.5 s a reader whose own read may be as old as that of a proxy
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_drain.py
@@ -4,6 +4,7 @@
 import pytest
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.gateway.tests.fakes import GatewayHarness
 from rosemaryward.decisions.types import Place
 from rosemaryward.platform.settings import HostSettings
@@ -221,6 +222,28 @@
     assert scenario.removed
 
 
+class OpenTransaction:
+    """Session whose transaction its caller does not end."""
+
+    def __init__(self):
+        self.abandoned_at = None
+
+    def end(self, reason, abandon_transaction=False):
+        if abandon_transaction:
+            self.abandoned_at = boot_time_s()
+
+
+async def test_open_transaction_has_the_first_half_of_the_grace_period(monkeypatch):
+    """Guards against transactions that a planned stop ends too early."""
+    scenario = DrainScenario(monkeypatch)
+    node, transaction = scenario.node, OpenTransaction()
+    node.sessions.add(transaction)
+    monkeypatch.setattr(node.caller_server, "wait_until_idle", anyio.sleep_forever)
+    stopped_at = boot_time_s()
+    await node.drain()
+    assert transaction.abandoned_at - stopped_at >= node.settings.grace_s / 2
+
+
 async def test_error_in_a_session_does_not_stop_the_server(monkeypatch):
     """Guards against one session whose error cuts all others."""
     scenario = DrainScenario(monkeypatch)
