Play restarts, silences and leaving primaries in a simulated fleet

Five hosts with their own lock, confirmation, change of primary and router, on a virtual clock. Directed tests: one host that is silent, frozen, dark, away from the store, slow or new; a cut-off host that still reaches the leaving primary; a member without the store that never saw the process which changes the primary. Random orders, with one fault or many at a time, check one holder, no new work past the bound, no stale read, no lost commit, and a holder and a primary soon.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/restart_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/restart_fleet.py
@@ -372,7 +372,9 @@
             await self.checkpoint()
             if other is self:
                 return other
-            if self.silent or other.silent or not other.tasks:
+            if self.silent or other.silent or self._is_cut_from(other):
+                await anyio.sleep(timeout_s)
+            if not other.tasks:
                 await anyio.sleep(timeout_s)
             await anyio.sleep(max(other.resumes_at - self.clock(), 0.0))
             await anyio.sleep(other.reply_delay_s)
@@ -380,6 +382,9 @@
                 return other
         raise PeerError(f"{name} is unreachable")
 
+    def _is_cut_from(self, other):
+        return frozenset((self.name, other.name)) in self.fleet.cut_pairs
+
     async def fence(self, member, request):
         other = await self._reach(member.name, FAILOVER_REQUEST_TIMEOUT_S)
         position = await other.leadership.fence_and_drain(request.group, request.epoch)
@@ -464,6 +469,10 @@
     ----------
     leaving_at : dict of SimulatedInstance to float
         Boot time at which each leaving instance has reported it.
+    cut_pairs : set of frozenset of str
+        Pairs of hosts that do not reach each other.
+    lagging : SimulatedInstance or None
+        Instance that receives nothing any more once it is demoted.
     late : list of str
         New work that reached a leaving instance after `DRAIN_S`.
     stale : list of str
@@ -479,6 +488,8 @@
         self.numbers = itertools.count(10)
         self.required = {}
         self.leaving_at = {}
+        self.cut_pairs = set()
+        self.lagging = None
         self.late = []
         self.stale = []
         self.store_delay_s = 0.0
@@ -526,6 +537,8 @@
         replaced_since = {}
         while True:
             self.store.expire_leases()
+            if self.lagging is not None and not self.lagging.is_primary:
+                self.lagging.receives = False
             self.group.replicate()
             newest = self.group.primary
             for instance in self.group.instances:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_restart_fleet.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_restart_fleet.py
@@ -119,6 +119,51 @@
     play(scenario)
 
 
+@pytest.mark.parametrize("silent_s", [0.0, 0.7, 1.5, 3.0])
+@pytest.mark.parametrize("read_age_s", [0.0, 0.3, 0.6, 0.9, 1.2])
+def test_cut_off_host_reads_nothing_stale_at_the_leaving_primary(silent_s, read_age_s):
+    """Guards against reads at a replaced primary by a host that nobody reaches."""
+
+    async def scenario(fleet):
+        await fleet.start()
+        host = next(h for h in fleet.hosts.values() if h is not fleet.holder())
+        await seconds_until(
+            fleet, lambda: fleet.clock() - host.confirmation.read_at < 0.1
+        )
+        await anyio.sleep(read_age_s)
+        fleet.lagging = fleet.group.primary
+        silence(fleet, host)
+        await anyio.sleep(silent_s)
+        fleet.leave(fleet.lagging)
+        await seconds_until(fleet, lambda: fleet.is_replaced(fleet.lagging))
+        await anyio.sleep(7.0)
+
+    play(scenario)
+
+
+def test_member_without_the_store_notices_a_change_by_a_process_it_never_saw():
+    """Guards against stale reads after a change by a process that has just started."""
+
+    async def scenario(fleet):
+        await fleet.start()
+        new, cut_off, *others = HOSTS
+        await fleet.hosts[new].drain()
+        await anyio.sleep(2.0)  # the others have read that it left
+        for name in (cut_off, *others):
+            fleet.hosts[name].away = True
+        fleet.cut_pairs.add(frozenset((new, cut_off)))
+        fleet.lagging = fleet.group.primary
+        fleet.start_host(new)
+        waiting = seconds_until(fleet, lambda: fleet.holder() is fleet.hosts[new])
+        assert await waiting <= HOLDER_WITHIN_S
+        fleet.leave(fleet.lagging)
+        await seconds_until(fleet, lambda: fleet.is_replaced(fleet.lagging))
+        assert fleet.is_replaced(fleet.lagging)
+        await anyio.sleep(7.0)
+
+    play(scenario)
+
+
 NAMES = st.sampled_from(HOSTS)
 STEPS_S = st.sampled_from([0.1, 0.4, 1.0, 2.5, 6.0])
 
