Send no new statements to leaving instances on the MySQL side

Cause: owners of a leaving primary refuse nothing until a promotion; owners of a leaving replica refuse reads only.

Change: the supervisor of a group records since when an instance leaves, by the document or by its own status. After 5 s its owner refuses new statements and transactions as not run, and logs it; open transactions go on. The lock and the fence of the platform have no counterpart here: owners replace a primary by a majority of instances, which one silent proxy cannot hold up.

test_primary_that_leaves_for_long_gets_no_new_statement fails without the check.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/replacement.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/replacement.py
@@ -90,7 +90,7 @@
             await self._handle_missing_primary(term)
             return
         self._missing_primary = None
-        if self._is_leaving(record.instance):
+        if self.group.is_leaving(record.instance):
             await self._handle_leaving_primary(record)
         else:
             self._handover_since = None
@@ -116,11 +116,6 @@
             and not is_primary(status, record.term)
         )
 
-    def _is_leaving(self, instance: str) -> bool:
-        status = self.group.status_of(instance)
-        section = self.group.instances[instance]
-        return section.leaving or (status is not None and status.leaving)
-
     def _proposer_delay_s(self) -> float:
         return self.proposer_index * self.group.settings.proposer_stagger_s
 
@@ -171,7 +166,7 @@
         monitor = self.group.monitors[name]
         now = anyio.current_time()
         return not (
-            self._is_leaving(name)
+            self.group.is_leaving(name)
             or monitor.status is None
             or monitor.detector.is_unresponsive(now)
         )
@@ -202,7 +197,7 @@
         record = self.group.primary
         if record is None or record.instance not in self.group.monitors:
             return ""
-        return "" if self._is_leaving(record.instance) else record.instance
+        return "" if self.group.is_leaving(record.instance) else record.instance
 
     def _apply_progress(self, term: int) -> object:
         """Return a value that changes while the chosen instance applies its log."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/supervisor.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/groups/supervisor.py
@@ -81,6 +81,7 @@
         "_confirmations",
         "_expected_apply_s",
         "_history",
+        "_leaving_since",
         "_primary",
         "_repair",
         "_replacement",
@@ -130,6 +131,7 @@
         self._expected_apply_s = 0.0
         self._confirmations = WriteConfirmations(self.view)
         self._history = PositionHistory()
+        self._leaving_since: dict[str, float] = {}
         self._repair = ReplicaRepair(self.monitors, f"{host_id}-repair")
         self._replacement = PrimaryReplacement(
             self, FailureAgreement(reachability_client, place), random
@@ -205,6 +207,24 @@
         """Return the last status of an instance, or None if there is none yet."""
         return self.monitors[instance].status
 
+    def leaving_s(self, instance: str) -> float:
+        """Return for how many seconds an instance is known to leave, 0 if it stays."""
+        since = self._leaving_since.get(instance)
+        return 0.0 if since is None else anyio.current_time() - since
+
+    def is_leaving(self, instance: str) -> bool:
+        """Return whether an instance leaves, by the document or its own status."""
+        status = self.status_of(instance)
+        section = self.instances[instance]
+        return section.leaving or (status is not None and status.leaving)
+
+    def _track_leaving(self, instance: str) -> None:
+        """Update since when an instance is known to leave."""
+        if not self.is_leaving(instance):
+            self._leaving_since.pop(instance, None)
+        elif instance not in self._leaving_since:
+            self._leaving_since[instance] = anyio.current_time()
+
     def reachability(self, endpoint: EndpointId) -> ReachabilityReply:
         """Answer another owner's question whether this process reaches an instance."""
         monitor = self.monitors.get(endpoint.instance)
@@ -379,6 +399,7 @@
 
     def _on_answer(self, monitor: InstanceMonitor) -> None:
         status, name = monitor.status, monitor.endpoint.instance
+        self._track_leaving(name)
         if status is not None and status.role is InstanceRole.PRIMARY:
             self.announce_primary(PrimaryRecord(self.database, status.term, name))
             if self.view.holds_lease(name):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/access.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/access.py
@@ -3,6 +3,7 @@
 from contextlib import AbstractAsyncContextManager
 
 import anyio
+import structlog
 
 from rosemaryward.decisions.errors import NotPrimaryError, NotRunError
 from rosemaryward.decisions.interfaces import InstanceRole
@@ -20,6 +21,11 @@
 __all__ = ["CONNECTION_WAIT_S", "EndpointAccess"]
 
 CONNECTION_WAIT_S = 0.5  # maximum wait for a connection, and for ``BEGIN``
+# An instance that leaves gets no new statement after this time, even if nothing has
+# replaced it as the primary.
+LEAVING_USE_LIMIT_S = 5.0
+
+log = structlog.get_logger(__name__)
 
 
 class EndpointAccess:
@@ -35,9 +41,21 @@
     group : Group
         State of the database group that the instance belongs to.
     observer : StatementObserver, optional
+
+    Attributes
+    ----------
+    refuses_new_work : bool
+        Whether the last new statement was refused because the instance leaves.
     """
 
-    __slots__ = ("admission", "connections", "endpoint", "group", "observer")
+    __slots__ = (
+        "admission",
+        "connections",
+        "endpoint",
+        "group",
+        "observer",
+        "refuses_new_work",
+    )
 
     def __init__(
         self,
@@ -52,6 +70,27 @@
         self.connections = connections
         self.group = group
         self.observer = observer or NullObserver()
+        self.refuses_new_work = False
+
+    def check_new_work(self) -> None:
+        """Check that the instance may get a new statement.
+
+        Raises
+        ------
+        NotRunError
+            If it has been leaving for long.
+        """
+        leaving_s = self.group.leaving_s(self.endpoint.instance)
+        refuses = leaving_s >= LEAVING_USE_LIMIT_S
+        if refuses and not self.refuses_new_work:
+            log.warning(
+                "leaving instance gets no new statements",
+                endpoint=str(self.endpoint),
+                leaving_s=round(leaving_s, 3),
+            )
+        self.refuses_new_work = refuses
+        if refuses:
+            raise NotRunError(f"{self.endpoint} has been leaving for {leaving_s:.1f} s")
 
     def slot(self, message: Execute) -> AbstractAsyncContextManager[HeldSlot]:
         """Return a context manager that holds a slot for a statement."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/interfaces.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/interfaces.py
@@ -74,6 +74,9 @@
     def status_of(self, instance: str) -> InstanceStatus | None:
         """Return the last status of an instance, None if there is none."""
 
+    def leaving_s(self, instance: str) -> float:
+        """Return for how many seconds an instance is known to leave, 0 if it stays."""
+
     def holds_read_lease(self, instance: str) -> bool:
         """Return whether a majority confirmed the instance's term recently."""
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/owned_endpoint.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/owned_endpoint.py
@@ -103,8 +103,10 @@
     async def _read(self, message: Execute) -> StatementResult:
         access = self.access
         deadline = anyio.current_time() + message.deadline_s
+        access.check_new_work()
         applied = await self._wait_until_readable(message)
         async with access.slot(message) as slot:
+            access.check_new_work()
             done = await access.execute(message.sql, deadline)
             access.record_times(message, slot)
         is_primary = access.is_primary()
@@ -178,9 +180,11 @@
         access = self.access
         deadline = anyio.current_time() + message.deadline_s
         access.writable_term()
+        access.check_new_work()
         async with access.slot(message) as slot:
             # The primary may have changed while the statement was queued.
             term = access.writable_term()
+            access.check_new_work()
             done = await access.execute(message.sql, deadline, message.request_key)
             access.record_times(message, slot)
         return await access.confirm_write(done, term, deadline)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/pinned_transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/pinned_transactions.py
@@ -87,6 +87,7 @@
 
     async def _begin(self, sender: str, message: Execute) -> OpenTransaction:
         access = self.access
+        access.check_new_work()
         term = access.writable_term()
         connection = await access.connections.take(CONNECTION_WAIT_S)
         try:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/fakes.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/fakes.py
@@ -106,6 +106,7 @@
             term, role, LogPosition(term, 10), LogPosition(term, 10)
         )
         self.has_lease = True
+        self.instance_leaving_s = 0.0
         self.confirms_writes = True
         self.read_index_position = LogPosition(term, 10)
         self.instance_staleness_s = 0.0
@@ -114,6 +115,9 @@
     def status_of(self, instance):
         return self.status
 
+    def leaving_s(self, instance):
+        return self.instance_leaving_s
+
     def holds_read_lease(self, instance):
         return self.has_lease
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_owner.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/routing/tests/test_owner.py
@@ -17,7 +17,10 @@
     StatementFailed,
     StatementResult,
 )
-from rosemaryward.decisions.routing.access import EndpointAccess
+from rosemaryward.decisions.routing.access import (
+    LEAVING_USE_LIMIT_S,
+    EndpointAccess,
+)
 from rosemaryward.decisions.routing.owned_endpoint import OwnedEndpoint
 from rosemaryward.decisions.routing.owner import OwnerService
 from rosemaryward.decisions.routing.replies import (
@@ -132,6 +135,32 @@
     assert isinstance(await harness.send(READ), expected)
 
 
+@pytest.mark.parametrize("message", [READ, WRITE, OPENING])
+@pytest.mark.parametrize(
+    ("leaving_s", "expected"),
+    [
+        pytest.param(LEAVING_USE_LIMIT_S - 0.1, StatementResult, id="since-shortly"),
+        pytest.param(LEAVING_USE_LIMIT_S, NotRun, id="for-long"),
+    ],
+)
+async def test_primary_that_leaves_for_long_gets_no_new_statement(
+    message, leaving_s, expected
+):
+    """Guards against new work at a leaving instance that nothing replaces."""
+    harness = OwnerHarness(_group(instance_leaving_s=leaving_s))
+    assert isinstance(await harness.send(message), expected)
+    assert (harness.pool.log == []) is (expected is NotRun)
+
+
+async def test_open_transaction_goes_on_at_a_leaving_primary():
+    """Guards against transactions that are cut by the bound for new work."""
+    harness = OwnerHarness()
+    assert isinstance(await harness.send(OPENING), StatementResult)
+    harness.group.instance_leaving_s = LEAVING_USE_LIMIT_S
+    message = msgspec.structs.replace(OPENING, begins_transaction=False)
+    assert isinstance(await harness.send(message), StatementResult)
+
+
 async def test_write_without_confirmation_is_unknown():
     """Guards against an acknowledged write that no majority has received."""
     harness = OwnerHarness(_group(confirms_writes=False))
