Verify primaries by their writes, and keep the positions that relays share

Cause: followers' confirmations are up to 3 s old. For a third of the time they dropped the positions that relays shared with them, so reads went to primaries; and the relays there asked for the status of primaries whose slots were all in use.

Change: positions that a relay shares are used as before, since the relay shares only those of a primary that it may read itself. A write or a transaction that may write, accepted by a primary, verifies it like a status request does.

Tests: test_positions_that_a_relay_shares_need_no_recent_confirmation, test_statement_that_only_a_primary_accepts_verifies_it and test_relay_needs_no_status_of_a_primary_that_runs_writes fail before.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/execution.py
@@ -495,7 +495,7 @@
                 raise RetryError(reason) from error
             raise RetryError(reason, self.clock()) from error
         self.selector.record_answer(target, sent_at, answer)
-        return self._check_answer(request, target, answer, position_before)
+        return self._check_answer(request, target, answer, sent_at, position_before)
 
     def newest_position(self, group: str) -> LogPosition:
         """Return the newest position that the primary's log is known to have."""
@@ -583,6 +583,7 @@
         request: StatementRequest,
         target: Target,
         answer: Answer,
+        sent_at: float,
         position_before: LogPosition,
     ) -> Answer:
         """Return a successful answer; raise the error for a failed one."""
@@ -590,6 +591,7 @@
         endpoint = target.pool.endpoint.id
         if failure is None:
             if request.writes:
+                self.record_verification(target, sent_at)
                 self.record_acknowledgement(
                     request.route.group, target, answer.position, position_before
                 )
@@ -605,6 +607,20 @@
             raise RetryError(f"{failure.name}: {answer.reason}", self.clock())
         raise StatementFailedError(failure, answer.reason, endpoint)
 
+    def record_verification(self, target: Target, sent_at: float) -> None:
+        """Record that an endpoint has accepted what a replica refuses.
+
+        Parameters
+        ----------
+        target : Target
+            Target that answered. A relay verifies the primary on its own account.
+        sent_at : float
+            Boot time at which the statement was sent, in seconds.
+        """
+        if target.record is not None and not target.pool.relayed:
+            endpoint = target.pool.endpoint.id
+            self.selector.leadership.record_verification(endpoint, sent_at)
+
     def record_acknowledgement(
         self,
         group: str,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/targets.py
@@ -178,7 +178,11 @@
         # The log of a replaced primary lacks what the new one has acknowledged.
         if self.leadership.primary(group) != target.record:
             return
-        if not self.leadership.may_read(group, pool.endpoint.id, target.record.epoch):
+        # A relay shares only positions of a primary that it may read itself.
+        may_read = self.leadership.may_read(
+            group, pool.endpoint.id, target.record.epoch
+        )
+        if not answer.samples and not may_read:
             return
         samples = self.group_samples(group)
         for since_sent_s, position in answer.samples or [(0.0, answer.position)]:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_verified_reads.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/tests/test_verified_reads.py
@@ -75,3 +75,23 @@
             tasks.start_soon(verify)
     assert answers == [False] * 5
     assert len(harness.control.requests) == 1
+
+
+@pytest.mark.parametrize("texts", [("WRITE k v",), ("BEGIN", "COMMIT")])
+async def test_statement_that_only_a_primary_accepts_verifies_it(texts):
+    """Guards against status requests at a primary that runs writes all the time."""
+    harness = GatewayHarness()
+    harness.clock.now += UNVERIFIED_READ_S + 0.1
+    replies = await harness.serve(*texts, "READ k")
+    assert [reply.failure for reply in replies] == [None] * len(replies)
+    assert not harness.control.requests
+
+
+async def test_refused_write_verifies_nothing():
+    """Guards against reads at a demoted primary after a write that it refused."""
+    harness = GatewayHarness(clock=boot_time_s)
+    harness.leadership.confirmations[0] -= UNVERIFIED_READ_S + 0.1
+    harness.primary.leads = False
+    with anyio.fail_after(5.0):
+        await harness.serve("WRITE k v", "READ k")
+    assert "READ k" not in harness.primary.texts()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/transactions.py
@@ -292,6 +292,8 @@
             self.executor.selector.record_answer(target, sent_at, answer)
             if answer.failure is not None:
                 raise RetryError(f"BEGIN failed: {answer.reason}")
+            if not self.read_only:
+                self.executor.record_verification(target, sent_at)
         except (UnansweredError, TimeoutError) as error:
             reason = str(error) or f"no answer within {remaining_s:.3f} s"
             pool.record_unanswered(sent_at, error, reason)
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -26,7 +26,7 @@
 # A primary is read without further checks only for this long after a confirmation, so
 # that a change of primary need not wait for the rest of the confirmation's validity.
 UNVERIFIED_READ_S = 1.8
-VERIFICATION_VALIDITY_S = 0.5  # after the request for the status of a primary
+VERIFICATION_VALIDITY_S = 0.5  # after a request that only a primary has accepted
 WRITE_DRAIN_TIMEOUT_S = 0.15
 EPOCH_BITS = 20  # changes of one group's primary within a generation of the store
 
@@ -92,8 +92,8 @@
     confirmations : dict of int to float
         The same for the records of each generation.
     verified_at : dict of str to float
-        Boot time at which the status was requested that last showed an endpoint to
-        lead its group, by endpoint.
+        Boot time at which the request was sent whose answer last showed an endpoint
+        to lead its group, by endpoint.
     fence_epochs : dict of str to int
         Epoch of each group below which its primary must not be used.
     closed_epochs : dict of str to int
@@ -391,14 +391,15 @@
         return now < verified_at + VERIFICATION_VALIDITY_S
 
     def record_verification(self, endpoint: str, sent_at: float) -> None:
-        """Record that an endpoint has reported that it leads its group.
+        """Record that an endpoint has shown that it leads its group.
 
         Parameters
         ----------
         endpoint : str
             Id of the endpoint.
         sent_at : float
-            Boot time at which its status was requested, in seconds.
+            Boot time at which the request was sent whose answer shows it, in seconds:
+            one for its status, or one that only a primary accepts.
         """
         oldest = self.clock() - VERIFICATION_VALIDITY_S
         self.verified_at = {e: at for e, at in self.verified_at.items() if at > oldest}
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/service.py
@@ -201,6 +201,13 @@
             endpoint.group, endpoint.id, admission.epoch
         )
 
+    def record_verification(
+        self, pool: EndpointPool, sent_at: float, answer: Answer
+    ) -> None:
+        """Record that an endpoint has accepted what a replica refuses."""
+        if answer.failure is None:
+            self.leadership.record_verification(pool.endpoint.id, sent_at)
+
     def accepts_statements(self, pool: EndpointPool) -> bool:
         """Return whether an endpoint may get new statements."""
         return self.directory.accepts_statements(pool.endpoint.id)
@@ -448,6 +455,8 @@
                     return refused
                 times.sent_at = self.service.clock()
                 answer = await pooled.begin(request.read_only, request.min_position)
+                if not request.read_only:
+                    self.service.record_verification(pool, times.sent_at, answer)
         except (UnansweredError, TimeoutError) as error:
             reason = _reason_of(error)
             pool.record_unanswered(times.sent_at, error, reason)
@@ -535,6 +544,8 @@
                 sent = True
                 times.sent_at = self.service.clock()
                 answer = await pooled.execute(request.statement, named, min_position)
+                if _is_write(request):
+                    self.service.record_verification(pool, times.sent_at, answer)
         except (UnansweredError, TimeoutError) as error:
             reason = _reason_of(error)
             pool.record_unanswered(times.sent_at, error, reason)
@@ -550,11 +561,8 @@
         if isinstance(request, LeasedRequest):
             # The statements of an open transaction belong together.
             return self.service.check_epoch(pool, request.admission)
-        statement = request.statement
-        is_write = statement.kind is StatementKind.WRITE
-        is_prepared_write = request.prepared is not None and request.prepared.writes
         return await self.service.check_request(
-            pool, request.admission, not (is_write or is_prepared_write)
+            pool, request.admission, not _is_write(request)
         )
 
     def _request_times(self, admission: AdmissionParameters) -> _RequestTimes:
@@ -592,5 +600,12 @@
             lease.pool.release(lease.pooled)
 
 
+def _is_write(request: RunRequest | LeasedRequest) -> bool:
+    """Return whether a request runs a statement that only a primary accepts."""
+    if request.prepared is not None:
+        return request.prepared.writes
+    return request.statement.kind is StatementKind.WRITE
+
+
 def _reason_of(error: Exception) -> str:
     return str(error) or "the endpoint did not answer in time"
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/relays/tests/test_relays.py
@@ -339,6 +339,15 @@
     assert oldest.index == 10
 
 
+async def test_positions_that_a_relay_shares_need_no_recent_confirmation():
+    """Guards against reads at primaries by followers, whose confirmations are older."""
+    harness = RelayedGatewayHarness(policy=ReadPolicy.READ_YOUR_WRITES)
+    harness.clock.now += UNVERIFIED_READ_S + 0.1
+    harness.relay.leadership.confirm(harness.clock())
+    await harness.serve("WRITE k v")
+    assert harness.selector.group_samples(GROUP).samples
+
+
 async def test_relay_shares_no_position_of_a_replaced_primary():
     """Guards against samples of a log that lacks a newer primary's commits."""
     harness = RelayedGatewayHarness()
@@ -401,8 +410,8 @@
     assert harness.relay.control.requests == ["i-1"]
 
 
-async def test_relay_sends_writes_without_verification():
-    """Guards against a status request for statements that a replica refuses."""
+async def test_relay_needs_no_status_of_a_primary_that_runs_writes():
+    """Guards against status requests at a primary whose slots are all in use."""
     harness = RelayedGatewayHarness()
     harness.clock.now += UNVERIFIED_READ_S + 0.1
     session = harness.service.session("proxy-1")
@@ -412,6 +421,11 @@
     )
     assert isinstance(reply, Answered)
     assert not harness.relay.control.requests
+    await session.handle(
+        RunRequest("i-1", parse_statement("READ k"), {}, None, None, ADMISSION)
+    )
+    assert texts_at_relay(harness) == ["WRITE k v", "READ k"]
+    assert not harness.relay.control.requests
 
 
 def leave_for_long(harness):
