End the renewal of a registration before it is removed

What callers saw: nothing yet; a member that has ended would hold up changes of primary.

Cause: a process that stops goes on renewing its lease while it ends it. The loss of the lease is taken for an expiry, and the process registers anew.

Change: the renewal ends when the removal begins.

--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -56,6 +56,8 @@
         Lease bound to the liveness key of this process, 0 for none.
     initial_lease : int
         Lease granted while the mirror loads and not yet bound to a key, 0 for none.
+    removed : bool
+        Whether the registration is being removed for good.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.confirmation = confirmation
         self.lease = 0
         self.initial_lease = 0
+        self.removed = False
         self.retry = retry or StoreRetry()
 
     def observe(self, name: str, stored: StoredValue) -> None:
@@ -112,16 +115,18 @@
         self.confirmation.record_read(sent_at, members, listing.revision)
 
     async def run(self, mirror: StoreMirror) -> None:
-        """Keep this proxy registered and its lease renewed until cancelled."""
+        """Keep this proxy registered and its lease renewed until it is removed."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._grant_initial_lease)
             await mirror.loaded.wait()
-        while True:
+        while not self.removed:
             pause_s = LIVENESS_RENEWAL_INTERVAL_S
             try:
                 await self._renew(mirror)
                 self.retry.record_answer()
             except LeaseLostError:
+                if self.removed:
+                    break
                 log.warning("liveness lease lost", lease=self.lease)
                 self.lease = 0
                 pause_s = RETRY_PAUSE_S
@@ -171,6 +176,7 @@
 
     async def remove(self) -> None:
         """Remove the registration; the failover lock must have been released before."""
+        self.removed = True
         name = self.record.name
         try:
             await self.store.delete(
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_registration.py
@@ -4,6 +4,7 @@
 import pytest
 
 from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
+from rosemaryward.decisions.mirror import LeaseLostError
 from rosemaryward.platform.fakes.documents import encode_settings
 from rosemaryward.platform.fakes.store import FakeStore
 from rosemaryward.platform.settings import read_settings
@@ -65,3 +66,48 @@
         tasks.cancel_scope.cancel()
     assert node.registration.lease
     assert MEMBER_PREFIX + "host-1" in server.items
+
+
+class RenewingStore(Store):
+    """Store whose lease ends while the registration is renewed."""
+
+    def __init__(self):
+        super().__init__()
+        self.renewing = anyio.Event()
+        self.ended = anyio.Event()
+        self.granted = []
+
+    async def grant_lease(self, ttl_s):
+        self.granted.append(ttl_s)
+        return len(self.granted)
+
+    async def renew_lease(self, lease_id):
+        self.renewing.set()
+        await self.ended.wait()
+        raise LeaseLostError(str(lease_id))
+
+    async def revoke_lease(self, lease_id):
+        await super().revoke_lease(lease_id)
+        self.ended.set()
+
+
+class LoadedMirror:
+    """Mirror that has read the store."""
+
+    def __init__(self):
+        self.loaded = anyio.Event()
+        self.loaded.set()
+
+
+async def test_process_that_leaves_does_not_register_again():
+    """Guards against a registration of an ended process, for which changes wait."""
+    store, members = RenewingStore(), MemberDirectory()
+    registration = MemberRegistration(RECORD, store, members, None, None)
+    members.observe(RECORD, 5)
+    registration.lease = 7
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(registration.run, LoadedMirror())
+        await store.renewing.wait()
+        with anyio.fail_after(5.0):
+            await registration.remove()
+    assert store.granted == [3.0]  # the initial lease
