--- a/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
+++ b/packages/rosemaryward-bench/src/rosemaryward/bench/tests/test_names.py
@@ -189,6 +189,8 @@
     ("Message between members, tag reached", decisions_members.ReachabilityReply),
     ("Message between members, tag confirm", decisions_members.ConfirmationRequest),
     ("Message between members, tag confirmed", decisions_members.ConfirmationReply),
+    ("Message between members, tag introduce", decisions_members.IntroductionRequest),
+    ("Message between members, tag introduced", decisions_members.IntroductionReply),
     ("Message between members, tag release", decisions_members.ReleaseRequest),
     ("Message between members, tag released", decisions_members.ReleaseReply),
     ("Message between members, tag record", decisions_members.RecordNotice),
