--- a/review/standins-3/standins.py
+++ b/review/standins-3/standins.py
@@ -27,24 +27,29 @@
 MAX_LINE_BYTES = 1 << 20
 
 
-_given_ports = set()
+_reservations = []
 
 
 def free_ports(count):
-    """Return `count` consecutive free TCP ports below the ephemeral range."""
+    """Return `count` consecutive free TCP ports below the ephemeral range.
+
+    The proxies use TCP only, so a UDP socket on each port keeps other scripts from it.
+    """
     while True:
         first = random.randrange(20_000, 29_000)
-        ports = list(range(first, first + count))
-        if _given_ports.intersection(ports):
-            continue
+        held = []
         try:
-            for port in ports:
+            for port in range(first, first + count):
+                held.append(socket.socket(type=socket.SOCK_DGRAM))
+                held[-1].bind((HOST, port))
                 with socket.socket() as probe:
                     probe.bind((HOST, port))
         except OSError:
+            for reservation in held:
+                reservation.close()
             continue
-        _given_ports.update(ports)
-        return ports
+        _reservations.extend(held)
+        return list(range(first, first + count))
 
 
 class Record:
@@ -316,7 +321,6 @@
         self.writers = set()
         self.slots = asyncio.Semaphore(group.slots)
         self.sequence = 0
-        self.store_lag_s = 0.0
 
     @property
     def position(self):
@@ -621,65 +625,6 @@
         await asyncio.sleep(interval_s / 4)
 
 
-# Links
-
-
-class Link:
-    """Loopback relay to one target, which can be cut, or go silent for good."""
-
-    def __init__(self, target):
-        self.target = target  # (host, port)
-        self.is_cut = False
-        self.pairs = set()
-
-    async def start(self):
-        """Listen."""
-        self.server = await asyncio.start_server(self._serve, HOST, 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-        self.address = f"{HOST}:{self.port}"
-        return self
-
-    def silence_open(self):
-        """Deliver nothing more on the connections that are open now."""
-        for pair in self.pairs:
-            pair.silent = True
-
-    async def _serve(self, reader, writer):
-        pair = _Pair()
-        self.pairs.add(pair)
-        other = None
-        try:
-            while self.is_cut:
-                await asyncio.sleep(0.02)
-            other_reader, other = await asyncio.open_connection(*self.target)
-            await asyncio.gather(
-                self._pump(reader, other, pair), self._pump(other_reader, writer, pair)
-            )
-        except OSError:
-            pass
-        finally:
-            self.pairs.discard(pair)
-            writer.close()
-            if other is not None:
-                other.close()
-
-    async def _pump(self, reader, writer, pair):
-        while data := await reader.read(1 << 16):
-            while self.is_cut or pair.silent:
-                await asyncio.sleep(0.02)
-            writer.write(data)
-            await writer.drain()
-        while self.is_cut or pair.silent:
-            await asyncio.sleep(0.02)
-        writer.close()
-
-
-class _Pair:
-    """State of one relayed connection."""
-
-    silent = False
-
-
 # Proxies
 
 
@@ -917,6 +862,7 @@
 def main(check):
     """Run a check, a coroutine function that takes whether to make trouble."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # the fleet is stopped first
     try:
         sys.exit(asyncio.run(check(trouble)))
     except Exception as error:
