Probe a store that does not answer, and derive the waits from the bounds

Cause: four waits followed one another: 1.2 s until a held call timed out, a pause of up to 3.25 s that grew while other members passed on the primary records, the read, and 0.5 s until the silent watch was replaced: 4.95 s, against 4 s. The logs of the new test on the code before show that the pause binds. With 503 the first and the last term are missing.

Change: failed calls wait for one series of cheap probes of the whole process, which are sent at fixed times whether or not earlier ones have ended. The first answer wakes the mirror, the confirming read and the registration, and replaces a watch from before. Why this works: nothing waits any longer for a call that the store held before it returned.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/confirmation.py
@@ -40,7 +40,6 @@
 WATCH_PAUSE_S = 0.3  # a new primary's record is sent to the members directly
 # Shorter than a new process takes to acquire the failover lock.
 MAX_BRIDGED_OUTAGE_S = 10.0
-RELAYED_MAX_AGE_S = 3.0  # of the store's last answer to another member
 # A reader that is asked by a process it does not know reads the store again, unless it
 # has just done so. All processes that start within this time share the read.
 MIN_READ_INTERVAL_S = 0.1
@@ -101,6 +100,8 @@
         time of their request.
     leaving : bool
         Whether this process is about to remove its registration.
+    max_read_age_s : float
+        Age of a reader's last read above which it confirms nothing, in seconds.
     """
 
     def __init__(
@@ -130,6 +131,7 @@
         self.relayed_at = float("-inf")
         self.introduced: dict[str, tuple[MemberRecord, float]] = {}
         self.leaving = False
+        self.max_read_age_s = READER_MAX_READ_AGE_S
 
     def record_read(
         self, sent_at: float, members: Iterable[MemberRecord], revision: int = 0
@@ -365,7 +367,7 @@
                 log.info("reader unreachable", member=reader.name, error=str(error))
                 self.reader_failures.record(reader.name, "no reply")
                 continue
-            if not reply.registered or reply.age_s > READER_MAX_READ_AGE_S:
+            if not reply.registered or reply.age_s > self.max_read_age_s:
                 continue
             self._observe_records(reply)
             read_at = asked_at - reply.age_s
@@ -383,10 +385,6 @@
         is_small = all_members_read_store(self.directory.live_members())
         return 0.0 if is_small else WATCH_PAUSE_S
 
-    def is_relayed(self) -> bool:
-        """Return whether another member has passed on a recent answer of the store."""
-        return self.clock() - self.relayed_at < RELAYED_MAX_AGE_S
-
     def _readers_after_registration(self) -> list[MemberRecord]:
         """Return the readers to ask before this process is seen as a live member."""
         for member in self.directory.members.values():
@@ -535,7 +533,7 @@
     def _is_recently_confirmed(self, now: float) -> bool:
         """Return whether the store, or a reader, has confirmed the records recently."""
         if self._readers():
-            limit_s = READER_MAX_READ_AGE_S + ASK_MEMBERS_AFTER_S
+            limit_s = self.max_read_age_s + ASK_MEMBERS_AFTER_S
             return now - self.leadership.confirmed_at < limit_s
         return now - self.read_at < ASK_MEMBERS_AFTER_S
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/tests/test_confirmation.py
@@ -116,13 +116,14 @@
     ],
 )
 async def test_member_knows_whether_the_store_answers_others(answer, relayed):
-    """Guards against frequent calls to a store that turns only this member away."""
+    """Guards against confirmations that no read of the store stands behind."""
     clock = FakeClock()
     confirmation = make_confirmation(clock)
     clock.now += CONFIRMATION_VALIDITY_S + 1.0
     confirmation.peers.confirmations = {"proxy-2": answer, "proxy-3": answer}
     await confirmation.confirm_through_members()
-    assert confirmation.is_relayed() is relayed
+    age_s = clock() - confirmation.relayed_at
+    assert (age_s < CONFIRMATION_VALIDITY_S) is relayed
 
 
 def make_new_process(clock, fleet_size):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -1,7 +1,6 @@
 """In-memory mirror of the platform's store."""
 
 from rosemaryward.decisions.mirror.follower import (
-    READER_MAX_READ_AGE_S,
     STORE_SOURCE,
     ChangeHistory,
     ChangesReply,
@@ -28,6 +27,7 @@
     number_of,
 )
 from rosemaryward.decisions.mirror.store_retry import StoreRetry
+from rosemaryward.decisions.mirror.timing import READER_MAX_READ_AGE_S, StoreTiming
 
 __all__ = [
     "READER_MAX_READ_AGE_S",
@@ -50,6 +50,7 @@
     "StoreMirror",
     "StoreRead",
     "StoreRetry",
+    "StoreTiming",
     "StoredValue",
     "Subscriber",
     "generation_of",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
@@ -27,6 +27,7 @@
     StoredValue,
     generation_of,
 )
+from rosemaryward.decisions.mirror.timing import READER_MAX_READ_AGE_S
 
 __all__ = [
     "ChangeHistory",
@@ -41,7 +42,6 @@
 HISTORY_MAX_CHANGES = 4000
 WATCH_WAIT_LIMIT_S = 5.0  # longest wait for changes that a follower requests
 READER_LOAD_WAIT_S = 3.0  # lets a reader that starts at the same time load
-READER_MAX_READ_AGE_S = 2.5  # a reader with an older last read lost the store
 FIRST_READ_POLL_S = 0.25
 STORE_SOURCE = "store"  # named in log lines where a reader could be
 
@@ -106,6 +106,9 @@
         Store revision after which `changes` has all changes.
     advanced : anyio.Event
         Set, then replaced, whenever `revision` grows.
+    max_read_age_s : float
+        Age of the last read of the store above which followers are told to leave, in
+        seconds.
     """
 
     def __init__(self) -> None:
@@ -114,6 +117,7 @@
         self.revision = 0
         self.complete_after = 0
         self.advanced = anyio.Event()
+        self.max_read_age_s = READER_MAX_READ_AGE_S
 
     def record_write(self, stored: StoredValue) -> None:
         """Record a written value."""
@@ -164,7 +168,7 @@
         with anyio.move_on_after(request.wait_s):
             while self.revision <= request.after or math.isinf(read_age_s()):
                 age_s = read_age_s()
-                left_s = READER_MAX_READ_AGE_S - age_s
+                left_s = self.max_read_age_s - age_s
                 if math.isinf(age_s):
                     left_s = FIRST_READ_POLL_S
                 elif left_s < 0.0:
@@ -242,6 +246,8 @@
         Name of the reader asked last, `STORE_SOURCE` for the store, empty at first.
     request_scope : anyio.CancelScope or None
         Scope that cancels the running request to that reader.
+    max_read_age_s : float
+        Age of a reader's last read above which it is not followed, in seconds.
     """
 
     def __init__(
@@ -258,6 +264,7 @@
         self.clock = clock
         self.selected = ""
         self.request_scope: anyio.CancelScope | None = None
+        self.max_read_age_s = READER_MAX_READ_AGE_S
 
     async def list(self, prefix: str) -> Listing:
         """Return all values whose keys start with `prefix`."""
@@ -294,7 +301,7 @@
             reply = await self._ask(reader, request)
             if reply is None:
                 continue
-            if reply.age_s <= READER_MAX_READ_AGE_S:
+            if reply.age_s <= self.max_read_age_s:
                 return reply
             log.info(
                 "reader lost the store",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/mirror.py
@@ -22,14 +22,13 @@
     StoreRead,
     generation_of,
 )
-from rosemaryward.decisions.mirror.store_retry import StoreRetry
+from rosemaryward.decisions.mirror.store_retry import MIN_PAUSE_S, StoreRetry
+from rosemaryward.decisions.mirror.timing import StoreTiming
 
 __all__ = ["StoreMirror", "Subscriber"]
 
 ALL_KEYS_PREFIX = ""
 WATCH_WAIT_S = 20.0
-CONFIRM_INTERVAL_S = 1.5
-WATCH_CATCH_UP_S = 0.5  # a watch still behind after this time has missed changes
 REGISTRATION_WAIT_S = 0.5  # a read before this process is registered confirms nothing
 
 log = structlog.get_logger(__name__)
@@ -107,7 +106,13 @@
     watch_scope : anyio.CancelScope or None
         Scope that cancels the running watch.
     retry : StoreRetry
-        Pauses after calls that the store did not answer.
+        Waits of calls that the store did not answer.
+    timing : StoreTiming
+        Intervals of the reads and checks.
+    watches_store : callable
+        Returns whether the running watch is one of the store, not of a reader.
+    is_watching : bool
+        Whether a watch is running.
     """
 
     def __init__(
@@ -147,7 +152,10 @@
         self.reachable = True
         self.confirm_requested = anyio.Event()
         self.watch_scope: anyio.CancelScope | None = None
-        self.retry = StoreRetry()
+        self.retry = StoreRetry(clock=clock)
+        self.timing = StoreTiming()
+        self.watches_store: Callable[[], bool] = lambda: True
+        self.is_watching = False
 
     async def run(self) -> None:
         """Watch and check the store until cancelled."""
@@ -203,28 +211,42 @@
         needs_reload = True
         while True:
             reloads = needs_reload
+            sent_at = self.clock()
             with anyio.CancelScope() as self.watch_scope:
                 try:
                     if needs_reload:
                         await self.reload()
                         self._set_reachable(True, "")
                         needs_reload = False
-                    changes = await self.source.watch(
-                        ALL_KEYS_PREFIX, self.revision, WATCH_WAIT_S
-                    )
-                    self._apply(changes)
+                        sent_at = self.clock()
+                    self._apply(await self._watch())
                     await anyio.sleep(self.watch_pause_s())
                 except HistoryLostError:
                     log.info("store history lost", revision=self.revision)
                     needs_reload = True
                     if reloads:
-                        await anyio.sleep(self.retry.next_pause_s())
+                        await anyio.sleep(MIN_PAUSE_S)
                 except StoreError as error:
                     self._set_reachable(False, str(error))
-                    await anyio.sleep(self.retry.next_pause_s())
+                    await self.retry.wait(sent_at)
             if self.watch_scope.cancelled_caught:
                 needs_reload = self.reload_next
 
+    async def _watch(self) -> Changes:
+        """Return the next changes; raises `StoreError`."""
+        self.is_watching = True
+        try:
+            return await self.source.watch(ALL_KEYS_PREFIX, self.revision, WATCH_WAIT_S)
+        finally:
+            self.is_watching = False
+
+    def replace_watch(self) -> None:
+        """Begin a new watch: one from before an outage may never return anything."""
+        if self.is_watching and self.watch_scope is not None and self.watches_store():
+            log.info("watch replaced", revision=self.revision)
+            self.reload_next = False
+            self.watch_scope.cancel()
+
     async def _confirm(self) -> None:
         """Confirm the prefix and check the watch at a fixed interval."""
         await self.loaded.wait()
@@ -242,15 +264,17 @@
                     read = await self._read_confirmed()
                 except StoreError as error:
                     self._set_reachable(False, str(error))
-                    await anyio.sleep(self.retry.next_pause_s())
+                    await self.retry.wait(began_at)
                     continue
             self.last_read = read
             self._compare(read)
-            requested = await self._confirm_requested_within(WATCH_CATCH_UP_S)
+            requested = await self._confirm_requested_within(
+                self.timing.watch_catch_up_s
+            )
             if requested:
                 continue
             self._check_watch(read)
-            pause_s = began_at + CONFIRM_INTERVAL_S - self.clock()
+            pause_s = began_at + self.timing.confirm_interval_s - self.clock()
             requested = await self._confirm_requested_within(pause_s)
 
     async def _read_confirmed(self) -> StoreRead:
@@ -259,7 +283,7 @@
         listing = await self.refresh(self.confirmed_prefix)
         self.on_confirmed(sent_at, listing)
         self._set_reachable(True, "")
-        self.retry.record_answer()
+        self.retry.record_answer(sent_at)
         return StoreRead(listing.revision, sent_at)
 
     async def _confirm_requested_within(self, wait_s: float) -> bool:
@@ -292,7 +316,8 @@
         self.checks_behind += 1
         # A full listing of a large fleet's store congests a narrow link, so a new watch
         # is tried first. A small fleet lists at once what the watch has missed.
-        self.reload_next = not self.watch_pause_s() or self.checks_behind > 1
+        tries_watch = self.watch_pause_s() and self.timing.allows_second_watch
+        self.reload_next = not tries_watch or self.checks_behind > 1
         log.warning(
             "watch behind the store",
             watch_revision=self.revision,
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/tests/test_mirror.py
@@ -11,7 +11,7 @@
     StoreRead,
     make_revision,
 )
-from rosemaryward.decisions.mirror.mirror import WATCH_CATCH_UP_S
+from rosemaryward.decisions.mirror.timing import WATCH_CATCH_UP_S
 
 
 class Subscriber:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -34,13 +34,13 @@
 from rosemaryward.decisions.leadership.supervisor import PrimarySupervisor
 from rosemaryward.decisions.leadership.verification import PrimaryVerifier
 from rosemaryward.decisions.mirror import (
-    READER_MAX_READ_AGE_S,
     STORE_SOURCE,
     FollowerSource,
     ReaderFailures,
     StoredValue,
     StoreMirror,
     StoreRetry,
+    StoreTiming,
 )
 from rosemaryward.decisions.relays.connections import RelayConnector, StatementPools
 from rosemaryward.decisions.relays.selection import RelaySelector, relay_capacity
@@ -94,7 +94,7 @@
 
 # A follower asks every 1.5 s a reader whose own read may be as old as that of a proxy
 # that reads the store, and compares once more 0.5 s later if its watch is behind.
-FOLLOWED_MAX_AGE_S = READER_MAX_READ_AGE_S + 2.5
+FOLLOWED_EXTRA_AGE_S = 2.5
 STATUS_READY = 200
 STATUS_NOT_READY = 503
 
@@ -120,6 +120,7 @@
         self.environment = NO_ENVIRONMENT
         self.metrics = ProxyMetrics(settings.name)
         self.store = PlatformStore(settings.store_address)
+        self.store_retry = StoreRetry(self.store.probe)
         self.connector = LineConnector(settings.name)
         self.leadership = Leadership()
         self.statement_log = StatementLog(
@@ -227,7 +228,7 @@
             self.members,
             self.failover_lock,
             self.confirmation,
-            StoreRetry(self.confirmation.is_relayed),
+            self.store_retry,
         )
         self.reader_directory = ReaderDirectory(
             settings.name,
@@ -250,9 +251,11 @@
             self.confirmation.watch_pause_s,
             self.follower_source,
         )
+        self.mirror.retry = self.store_retry
+        self.mirror.watches_store = self._watches_store
+        self.store_retry.listeners.append(self.mirror.replace_watch)
         self.mirror.confirm_registration = self.confirmation.confirm_registration
         self.mirror.restore_listeners.append(self._observe_restore)
-        self.mirror.retry = StoreRetry(self.confirmation.is_relayed)
         self.liveness_delegate = LivenessDelegate(
             settings.name,
             self.members,
@@ -284,6 +287,7 @@
         self.sessions = self.callers.sessions
         self.supervised_groups: set[str] = set()
         self.is_draining = False
+        self._apply_timing()
 
     def _subscribers(self) -> dict[str, RecordSubscriber]:
         subscribers = [
@@ -346,6 +350,7 @@
             for task in (
                 self.connector.run,
                 self.relay_client.run,
+                self.store_retry.run,
                 self.mirror.run,
                 self.quota.run,
                 self._register,
@@ -390,8 +395,19 @@
         self.settings = settings
         self.store.set_address(settings.store_address)
         self.promoter.address = settings.promotion_address
+        self._apply_timing()
         log.info("settings reloaded")
 
+    def _apply_timing(self) -> None:
+        """Derive the waits of store calls from the bounds in the settings."""
+        timing = StoreTiming.within(self.settings.shortest_bound_s)
+        self.store.timeout_s = timing.call_timeout_s
+        self.store_retry.interval_s = timing.probe_interval_s
+        self.mirror.timing = timing
+        self.mirror.history.max_read_age_s = timing.reader_max_read_age_s
+        self.follower_source.max_read_age_s = timing.reader_max_read_age_s
+        self.confirmation.max_read_age_s = timing.reader_max_read_age_s
+
     async def drain(self) -> None:
         """Let statements and transactions end, then remove the registration.
 
@@ -614,10 +630,15 @@
 
     def _may_have_lost_store(self) -> bool:
         """Return whether the last read of the store is too old for normal operation."""
-        reads_store = self.follower_source.selected in ("", STORE_SOURCE)
-        limit_s = READER_MAX_READ_AGE_S if reads_store else FOLLOWED_MAX_AGE_S
+        limit_s = self.mirror.timing.reader_max_read_age_s
+        if not self._watches_store():
+            limit_s += FOLLOWED_EXTRA_AGE_S
         return self.mirror.age_s() > limit_s
 
+    def _watches_store(self) -> bool:
+        """Return whether this proxy watches the store itself, not through a reader."""
+        return self.follower_source.selected in ("", STORE_SOURCE)
+
     async def _supervise(self) -> None:
         """Start a supervisor for each replication group that appears."""
         async with anyio.create_task_group() as tasks:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -48,7 +48,7 @@
     confirmation : Confirmation
         Receives each read of the store that shows the living members.
     retry : StoreRetry, optional
-        Pauses after calls that the store did not answer.
+        Waits of calls that the store did not answer.
 
     Attributes
     ----------
@@ -121,9 +121,10 @@
             await mirror.loaded.wait()
         while not self.removed:
             pause_s = LIVENESS_RENEWAL_INTERVAL_S
+            sent_at = boot_time_s()
             try:
                 await self._renew(mirror)
-                self.retry.record_answer()
+                self.retry.record_answer(sent_at)
             except LeaseLostError:
                 if self.removed:
                     break
@@ -135,7 +136,8 @@
                 pause_s = RETRY_PAUSE_S
             except StoreError as error:
                 log.info("registration failed", error=str(error))
-                pause_s = self.retry.next_pause_s()
+                await self.retry.wait(sent_at)
+                continue
             await anyio.sleep(pause_s)
 
     async def _renew(self, mirror: StoreMirror) -> None:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_registration_age.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_registration_age.py
@@ -10,8 +10,8 @@
     StoreMirror,
     StoreRead,
 )
-from rosemaryward.decisions.mirror.mirror import CONFIRM_INTERVAL_S
-from rosemaryward.proxy.platform_node import FOLLOWED_MAX_AGE_S
+from rosemaryward.decisions.mirror.timing import CONFIRM_INTERVAL_S
+from rosemaryward.proxy.platform_node import FOLLOWED_EXTRA_AGE_S
 
 pytestmark = pytest.mark.looptime(noop_cycles=0)
 
@@ -51,7 +51,9 @@
     ("follows", "limit_s"),
     [
         pytest.param(False, READER_MAX_READ_AGE_S, id="reads-the-store"),
-        pytest.param(True, FOLLOWED_MAX_AGE_S, id="follows-a-reader"),
+        pytest.param(
+            True, READER_MAX_READ_AGE_S + FOLLOWED_EXTRA_AGE_S, id="follows-a-reader"
+        ),
     ],
 )
 async def test_registrations_of_a_large_fleet_are_current(follows, limit_s):
