Decode entries of the etcd store and of the host list one by one

Change: each entry is decoded on its own; one that cannot be decoded is left out, counted and logged within the limit of one line a second. An odd primary record counts as one of term 0 and is replaced.

Evidence: test_odd_entries_cost_nothing_but_themselves fails on the code before. test_host_list expected an error for a list with one odd host; it now expects that host to be left out and counted, and an error for a document that is no list.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/interfaces.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/interfaces.py
@@ -5,7 +5,7 @@
 
 from collections.abc import AsyncIterator, Awaitable, Callable
 from enum import StrEnum
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 
@@ -218,13 +218,16 @@
         """Yield the value of `key` after every change until the watch fails."""
 
 
+Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+
+
 class ListedHost(msgspec.Struct, frozen=True):
     """Host in the platform's host list, which may be minutes old."""
 
     host_id: str
     host: str
-    statement_port: int
-    gossip_port: int
+    statement_port: Port
+    gossip_port: Port
     region: str
     failure_domain: str
     leaving: bool = False
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/store.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/store.py
@@ -1,7 +1,7 @@
 """Client of the key-value store over the etcd v3 JSON gateway."""
 
 from base64 import b64encode
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable, Sequence
 from types import TracebackType
 from typing import Any, Self, TypeVar
 
@@ -9,6 +9,7 @@
 import httpx
 import msgspec
 
+from rosemaryward.decisions.clients import FailureLog
 from rosemaryward.decisions.decoding import decode_with
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.decisions.interfaces import VersionedValue
@@ -50,6 +51,8 @@
         Number of requests to the store, and of those that failed.
     lost_replies : int
         Number of compare-and-swap requests whose reply was lost.
+    rejected_values : int
+        Number of values in replies that could not be decoded and were left out.
 
     Notes
     -----
@@ -75,6 +78,8 @@
         self.calls = 0
         self.failures = 0
         self.lost_replies = 0
+        self.rejected_values = 0
+        self.failure_log = FailureLog()
         self._client: httpx.AsyncClient | None = None
 
     async def __aenter__(self) -> Self:
@@ -95,17 +100,15 @@
 
     async def get(self, key: str) -> VersionedValue | None:
         """Return the value of a key, or None if the key does not exist."""
-        reply = await self._range(key)
-        return _to_versioned_value(reply.kvs[0]) if reply.kvs else None
+        values = self._decode_values((await self._range(key)).kvs)
+        return values[0] if values else None
 
     async def list(self, prefix: str) -> list[VersionedValue]:
         """Return the values of all keys that start with `prefix`, sorted by key."""
         start = prefix.encode()
         body = {"key": _to_base64(start), "range_end": _to_base64(prefix_end(start))}
         reply = await self._call("/v3/kv/range", body, RangeReply)
-        return sorted(
-            (_to_versioned_value(kv) for kv in reply.kvs), key=lambda v: v.key
-        )
+        return sorted(self._decode_values(reply.kvs), key=lambda v: v.key)
 
     async def put(self, key: str, value: bytes) -> None:
         """Write a value regardless of the key's version."""
@@ -175,15 +178,15 @@
         seen = 0
         while True:
             reply = await self._range(key)
-            for kv in reply.kvs:
-                if kv.mod_revision > seen:
-                    seen = kv.mod_revision
-                    yield _to_versioned_value(kv)
+            for value in self._decode_values(reply.kvs):
+                if value.version > seen:
+                    seen = value.version
+                    yield value
             async for result in self._stream_results(key, reply.header.revision + 1):
-                for event in result.events:
-                    if event.type == "PUT":
-                        seen = event.kv.mod_revision
-                        yield _to_versioned_value(event.kv)
+                written = [e.kv for e in result.events if e.type == "PUT"]
+                for value in self._decode_values(written):
+                    seen = value.version
+                    yield value
 
     async def _stream_results(
         self, key: str, revision: int
@@ -219,7 +222,7 @@
         except StoreError:
             await anyio.sleep(self.timeout_s / 10)
             return None
-        return reply.kvs[0] if reply.kvs else KeyValue()
+        return _first_value(reply)
 
     async def _range(self, key: str) -> RangeReply:
         body = {"key": _to_base64(key.encode())}
@@ -238,6 +241,20 @@
             self.failures += 1
             raise StoreError(f"{path}: {error!r}") from error
 
+    def _decode_values(self, values: Iterable[msgspec.Raw]) -> Sequence[VersionedValue]:
+        """Return the values that can be decoded; counts the others."""
+        decoded: list[VersionedValue] = []
+        for raw in values:
+            try:
+                kv = _decode(raw, KeyValue)
+                key = kv.key.decode()
+            except (msgspec.DecodeError, UnicodeDecodeError) as error:
+                self.rejected_values += 1
+                self.failure_log.record("store value cannot be used", error)
+                continue
+            decoded.append(VersionedValue(key, kv.value, kv.mod_revision))
+        return decoded
+
     def _open_client(self) -> httpx.AsyncClient:
         if self._client is None:
             raise StoreError("the store client is used outside its context")
@@ -248,10 +265,6 @@
     return b64encode(data).decode()
 
 
-def _to_versioned_value(kv: KeyValue) -> VersionedValue:
-    return VersionedValue(kv.key.decode(), kv.value, kv.mod_revision)
-
-
 def _swap_body(key: str, value: bytes, version: int) -> dict[str, Any]:
     name = _to_base64(key.encode())
     compare = {
@@ -272,10 +285,18 @@
     for operation in reply.responses:
         found = operation.response_range
         if found is not None and found.kvs:
-            return found.kvs[0]
+            return _first_value(found)
     return KeyValue()
 
 
+def _first_value(reply: RangeReply) -> KeyValue:
+    """Return the first value of a reply, empty if there is none that can be decoded."""
+    try:
+        return _decode(reply.kvs[0], KeyValue) if reply.kvs else KeyValue()
+    except msgspec.DecodeError:
+        return KeyValue()
+
+
 async def _read_lines(response: httpx.Response) -> AsyncIterator[bytes]:
     """Yield the lines of a stream; raises `StoreError` for a line that is too long."""
     buffer = b""
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/tests/test_store.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/tests/test_store.py
@@ -4,6 +4,8 @@
 
 import anyio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.etcd import EtcdStore, HttpHostList
@@ -227,6 +229,9 @@
         (host,) = await hosts.fetch()
         assert (host.host_id, host.leaving) == ("p1", True)
         gateway.hosts = [{"host_id": 3}]
+        assert await hosts.fetch() == []
+        assert hosts.rejected_hosts == 1
+        gateway.hosts = {"host_id": 3}
         with pytest.raises(StoreError):
             await hosts.fetch()
 
@@ -238,3 +243,37 @@
 def test_prefix_end(prefix, end):
     """Guards against a prefix listing with missing or additional keys."""
     assert prefix_end(prefix) == end
+
+
+json_values = st.recursive(
+    st.none() | st.integers() | st.sampled_from([10**400, -1]) | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=2)
+        | st.dictionaries(
+            st.sampled_from(["key", "value", "mod_revision", "host"]), inner, max_size=3
+        )
+    ),
+    max_leaves=4,
+)
+GOOD = {"key": "L2EveA==", "value": "b25l", "mod_revision": "4"}
+
+
+@settings(deadline=None, max_examples=40)
+@given(odd=st.lists(json_values, max_size=4))
+def test_odd_entries_cost_nothing_but_themselves(odd):
+    """Guards against a listing that one entry of another writer ends."""
+    not_text = {"key": "/w==", "value": "", "mod_revision": "3"}
+
+    async def read():
+        async with (
+            running_gateway() as gateway,
+            EtcdStore(gateway.url) as store,
+            HttpHostList(f"{gateway.url}/hosts") as hosts,
+        ):
+            gateway.range = lambda body: {"kvs": [*odd, not_text, GOOD]}
+            gateway.hosts = [*odd, HOST | {"gossip_port": 10**30}, HOST]
+            return await store.list("/a/"), await hosts.fetch()
+
+    values, found = anyio.run(read)
+    assert (values[-1].key, values[-1].value) == ("/a/x", b"one")
+    assert [host.host_id for host in found] == ["p1"]
--- a/packages/rosemaryward-etcd/src/rosemaryward/etcd/wire.py
+++ b/packages/rosemaryward-etcd/src/rosemaryward/etcd/wire.py
@@ -34,10 +34,10 @@
 
 
 class RangeReply(msgspec.Struct, frozen=True):
-    """Reply to a range request."""
+    """Reply to a range request; each key is decoded on its own."""
 
     header: Header = Header()
-    kvs: tuple[KeyValue, ...] = ()
+    kvs: tuple[msgspec.Raw, ...] = ()
 
 
 class OperationReply(msgspec.Struct, frozen=True):
@@ -58,7 +58,7 @@
     """One change of a watched key."""
 
     type: str = "PUT"
-    kv: KeyValue = KeyValue()
+    kv: msgspec.Raw = msgspec.Raw(b"{}")
 
 
 class WatchResult(msgspec.Struct, frozen=True):
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/records.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/records.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 
 import anyio
+import msgspec
 import structlog
 
 from rosemaryward.decisions.document.stored import (
@@ -80,7 +81,7 @@
     async def _write(self, record: PrimaryRecord) -> None:
         key = primary_key(self.environment, record.database)
         found = await self.store.get(key)
-        if found is not None and decode_primary(found.value).term >= record.term:
+        if found is not None and _term_of(found.value) >= record.term:
             return
         version = found.version if found is not None else 0
         try:
@@ -89,3 +90,11 @@
             # Another proxy wrote concurrently; the retry compares the terms again.
             self.log.debug("primary record write conflict", database=record.database)
             raise
+
+
+def _term_of(value: bytes) -> int:
+    """Return the term of a stored record, 0 for one that cannot be decoded."""
+    try:
+        return decode_primary(value).term
+    except msgspec.DecodeError:
+        return 0
