Contain what one odd value of the store causes, whatever its bytes and key

Cause: the start time was divided by 1000.0, which raises OverflowError. Subscribers expected decoding errors only, so the error ended the watch and the confirming reads of StoreMirror. They began again a second later, listed the store and met the next entry: one second for each, in every process.

Change: types and ranges are checked where values and messages are decoded. A subscriber contains what one value causes, logs it once within a rate limit, and counts it. An item of an answer that cannot be decoded is left out instead of failing the answer. An odd value under one of our own keys keeps its revision, so that the next write can replace it; a process whose registration was replaced registers again. Single keys are compared whole, a registration must bear the name in its key, addresses of members are checked, and only groups that the configuration names are supervised. Why this works: no error of a value reaches the tasks of the mirror, and nothing keeps a value that would fail later.

--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/stored.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/document/stored.py
@@ -11,6 +11,7 @@
 from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.document.schema import Document
 from rosemaryward.decisions.messages import PrimaryRecord
+from rosemaryward.decisions.types import Count
 
 __all__ = [
     "MAX_HISTORY_VERSIONS",
@@ -51,7 +52,7 @@
     document : Document
     """
 
-    version: int
+    version: Count
     author: str
     comment: str
     changed_at: str
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/gateway/directory.py
@@ -33,6 +33,8 @@
 # has replaced it. Bounds count from when the endpoint reported it, which is earlier.
 LEAVING_USE_LIMIT_S = 5.0
 
+MS_PER_SECOND = 1000
+
 SAME_DOMAIN_DISTANCE = 0
 SAME_REGION_DISTANCE = 1
 OTHER_REGION_DISTANCE = 2
@@ -201,8 +203,8 @@
             return 0 < known.started_at < endpoint.started_at
         if not self.listed:
             return False
-        age_s = self.unix_clock() - endpoint.started_at / 1000.0
-        return not endpoint.started_at or age_s < RECENT_START_S
+        recent_ms = (self.unix_clock() - RECENT_START_S) * MS_PER_SECOND
+        return not endpoint.started_at or endpoint.started_at > recent_ms
 
     def _record_leaving(self, endpoint: Endpoint) -> None:
         """Record since when an endpoint leaves; one that started again does not."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/failover_lock.py
@@ -172,13 +172,20 @@
         self.free_since = self.clock()
         log.info("duty observed", holder=record.holder, token=revision)
 
-    def observe_removal(self) -> None:
-        """Apply the removal of the record: its lease expired or was revoked."""
+    def observe_removal(self, revision: int = 0) -> None:
+        """Apply the removal of the record: its lease expired or was revoked.
+
+        Parameters
+        ----------
+        revision : int
+            Store revision of a value that cannot be used, which the next acquisition
+            replaces, 0 if there is none.
+        """
         holder = UNKNOWN_HOLDER if self.record is None else self.record.holder
         log.info("duty key removed", holder=holder, token=self.revision)
         self._record_last_holder(holder, self.revision)
         self.record = None
-        self.revision = 0
+        self.revision = revision
         self.free_since = self.clock()
 
     def observe_last_acquisition(self, record: LockRecord, revision: int) -> None:
@@ -192,9 +199,15 @@
             self._record_last_holder(record.holder, revision)
             self.free_since = self.clock()
 
-    def observe_last_acquisition_removal(self) -> None:
-        """Apply the loss of that copy, for example by a restore of the store."""
-        self.last_acquisition = 0
+    def observe_last_acquisition_removal(self, revision: int = 0) -> None:
+        """Apply the loss of that copy, for example by a restore of the store.
+
+        Parameters
+        ----------
+        revision : int
+            Store revision of a value that cannot be used, 0 if there is none.
+        """
+        self.last_acquisition = revision
 
     def _record_last_holder(self, holder: str, token: int) -> None:
         """Record who may act without a record, unless a later holder is known."""
@@ -360,8 +373,8 @@
         record = None if stored is None else _decode_record(stored)
         if stored is not None and record is not None:
             self.observe(record, stored.revision)
-        elif self.record is not None:
-            self.observe_removal()
+        elif self.record is not None or stored is not None:
+            self.observe_removal(0 if stored is None else stored.revision)
         if copy is None:
             self.observe_last_acquisition_removal()
         else:
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/members.py
@@ -7,17 +7,18 @@
 """
 
 from collections.abc import Callable
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import msgspec
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
+from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.leadership.records import (
     CONFIRMATION_VALIDITY_S,
     GroupRecord,
 )
-from rosemaryward.decisions.types import LogPosition, Place
+from rosemaryward.decisions.types import Count, LogPosition, Place
 
 __all__ = [
     "ConfirmationReply",
@@ -35,10 +36,13 @@
     "RecordNotice",
     "ReleaseReply",
     "ReleaseRequest",
+    "decode_member",
 ]
 
 CLOCK_DRIFT_MARGIN_S = 0.2  # clock drift between hosts during one confirmation
 
+Seconds = Annotated[float, msgspec.Meta(ge=0.0)]
+
 log = structlog.get_logger(__name__)
 
 
@@ -73,6 +77,29 @@
     verifies_reads: bool = False
 
 
+def decode_member(name: str, value: bytes) -> MemberRecord:
+    """Decode the registration of a member.
+
+    Parameters
+    ----------
+    name : str
+        Name in the key of the registration.
+    value : bytes
+        JSON value.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If the value is no registration of this member.
+    """
+    member = decode_json(value, MemberRecord)
+    if member.name != name:
+        raise msgspec.ValidationError(
+            f"expected the registration of {name[:100]!r}, got {member.name[:100]!r}"
+        )
+    return member
+
+
 class FenceRequest(msgspec.Struct, frozen=True, tag="fence"):
     """Request to stop using the primaries of a group of earlier epochs.
 
@@ -85,7 +112,7 @@
     """
 
     group: str
-    epoch: int
+    epoch: Count
 
 
 class FenceReply(msgspec.Struct, frozen=True, tag="fenced"):
@@ -167,11 +194,11 @@
         Processes known to the member that the request does not name as asked.
     """
 
-    age_s: float
+    age_s: Seconds
     registered: bool
     changing: bool
-    records: dict[str, tuple[GroupRecord, int]]
-    revision: int = 0
+    records: dict[str, tuple[GroupRecord, Count]]
+    revision: Count = 0
     incarnation: str = ""
     not_asked: tuple[MemberRecord, ...] = ()
 
@@ -209,7 +236,7 @@
         Fencing token under which the lock was held.
     """
 
-    token: int
+    token: Count
 
 
 class ReleaseReply(msgspec.Struct, frozen=True, tag="released"):
@@ -239,7 +266,7 @@
 
     group: str
     record: GroupRecord
-    revision: int
+    revision: Count
 
 
 class RecordAck(msgspec.Struct, frozen=True, tag="noted"):
@@ -304,6 +331,8 @@
         Members at that time, whose registrations the store may have lost.
     last_left_at : float
         Boot time at which the last process was seen to have left or been replaced.
+    unreadable : set of str
+        Names of the members whose registration cannot be used.
     """
 
     def __init__(
@@ -321,6 +350,7 @@
         self.version = 0
         self.restored_at = float("-inf")
         self.known_before_restore: list[MemberRecord] = []
+        self.unreadable: set[str] = set()
 
     def observe_restore(self) -> None:
         """Keep the members, which may rely on a confirmation from before a restore."""
@@ -354,6 +384,7 @@
             self.observed_at[member.name] = self.clock()
         self.members[member.name] = member
         self.revisions[member.name] = revision
+        self.unreadable.discard(member.name)
         self.version += 1
         if member.name not in self.alive:
             # The liveness key follows; without it, the process may not use primaries.
@@ -366,9 +397,20 @@
             self.last_left_at = self.clock()
         self.version += 1
         self.revisions.pop(name, None)
+        self.unreadable.discard(name)
         self.absent_since.pop(name, None)
         self.observed_at.pop(name, None)
 
+    def observe_unreadable(self, name: str, revision: int) -> None:
+        """Apply a registration that cannot be used, in the place of any known one.
+
+        The process that it stood for reads no registration of its own any more, so its
+        confirmation expires like that of a member without its liveness key.
+        """
+        self.revisions[name] = revision
+        self.unreadable.add(name)
+        self.mark_absent(name)
+
     def observe_end(self) -> None:
         """Record that a process has ended that is still registered."""
         self.last_left_at = self.clock()
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/records.py
@@ -10,7 +10,7 @@
 from rosemaryward.decisions.clock import boot_time_s
 from rosemaryward.decisions.leadership.pending_promotions import PendingPromotions
 from rosemaryward.decisions.mirror.store import generation_of
-from rosemaryward.decisions.types import LogPosition
+from rosemaryward.decisions.types import Count, LogPosition
 
 __all__ = [
     "CONFIRMATION_VALIDITY_S",
@@ -58,11 +58,11 @@
         Endpoints for which a promotion was called and may still take effect.
     """
 
-    epoch: int
+    epoch: Count
     primary: str
     serving: bool
     holder: str
-    term: int = 0
+    term: Count = 0
     pending: tuple[str, ...] = ()
 
 
@@ -198,9 +198,17 @@
         for notify in self.change_listeners:
             notify(group)
 
-    def observe_removal(self, group: str) -> None:
-        """Record that the store has no record of a group; the known one is kept."""
-        self.revisions[group] = 0
+    def observe_removal(self, group: str, revision: int = 0) -> None:
+        """Record that the store has no record of a group; the known one is kept.
+
+        Parameters
+        ----------
+        group : str
+            Group of the record.
+        revision : int
+            Store revision of a value that cannot be used, 0 if there is none.
+        """
+        self.revisions[group] = revision
 
     def observe_restore(self, generation: int) -> None:
         """Record that the store was restored and may hold older records."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_sets.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/leadership/replica_sets.py
@@ -72,9 +72,17 @@
             revision=revision,
         )
 
-    def observe_removal(self, group: str) -> None:
-        """Record that the store has lost a replica set; the known one is kept."""
-        self.revisions[group] = 0
+    def observe_removal(self, group: str, revision: int = 0) -> None:
+        """Record that the store has lost a replica set; the known one is kept.
+
+        Parameters
+        ----------
+        group : str
+            Group of the replica set.
+        revision : int
+            Store revision of a value that cannot be used, 0 if there is none.
+        """
+        self.revisions[group] = revision
 
     def endpoints(self, group: str) -> dict[str, str]:
         """Return the address of each endpoint in a group's replica set, by id."""
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/tests/test_configuration.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/membership/tests/test_configuration.py
@@ -274,6 +274,8 @@
         encode_stored(stored(9))[:-2],
         encode_stored(stored(9, environment="production")),
         encode_stored(stored(9, author="bad")),
+        encode_stored(stored(10**30)),
+        encode_stored(stored(-1)),
     ],
 )
 async def test_invalid_document_is_rejected(data):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/messages.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/messages.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from rosemaryward.decisions.types import EndpointId, LogPosition, Place
+from rosemaryward.decisions.types import Count, EndpointId, LogPosition, Place
 
 __all__ = [
     "Column",
@@ -251,7 +251,7 @@
     """Instance that is the primary of a database in a term."""
 
     database: str
-    term: int
+    term: Count
     instance: str
 
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/__init__.py
@@ -12,7 +12,10 @@
 )
 from rosemaryward.decisions.mirror.mirror import StoreMirror, Subscriber
 from rosemaryward.decisions.mirror.reader_failures import ReaderFailures
+from rosemaryward.decisions.mirror.rejected_values import RejectedValues
 from rosemaryward.decisions.mirror.store import (
+    MAX_GENERATION,
+    MAX_NUMBER,
     Changes,
     ConditionalWrite,
     HistoryLostError,
@@ -30,6 +33,8 @@
 from rosemaryward.decisions.mirror.timing import READER_MAX_READ_AGE_S, StoreTiming
 
 __all__ = [
+    "MAX_GENERATION",
+    "MAX_NUMBER",
     "READER_MAX_READ_AGE_S",
     "STORE_SOURCE",
     "ChangeHistory",
@@ -47,6 +52,7 @@
     "NotLoadedError",
     "Reader",
     "ReaderFailures",
+    "RejectedValues",
     "StoreMirror",
     "StoreRead",
     "StoreRetry",
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/follower.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Protocol
+from typing import Annotated, Protocol
 
 import anyio
 import msgspec
@@ -28,6 +28,7 @@
     generation_of,
 )
 from rosemaryward.decisions.mirror.timing import READER_MAX_READ_AGE_S
+from rosemaryward.decisions.types import Count
 
 __all__ = [
     "ChangeHistory",
@@ -63,8 +64,8 @@
         Longest wait for a change, in seconds.
     """
 
-    after: int
-    wait_s: float
+    after: Count
+    wait_s: Annotated[float, msgspec.Meta(ge=0.0, le=WATCH_WAIT_LIMIT_S)]
 
 
 class ChangesReply(msgspec.Struct, frozen=True, tag="changed"):
@@ -85,8 +86,8 @@
     """
 
     written: list[StoredValue]
-    removed: list[tuple[str, int]]
-    revision: int
+    removed: list[tuple[str, Count]]
+    revision: Count
     complete: bool
     age_s: float
 
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/mirror/store.py
@@ -12,10 +12,13 @@
 import msgspec
 
 from rosemaryward.decisions.errors import StoreError
+from rosemaryward.decisions.types import MAX_COUNT, Count
 
 __all__ = [
     "Changes",
     "ConditionalWrite",
+    "MAX_GENERATION",
+    "MAX_NUMBER",
     "HistoryLostError",
     "LeaseLostError",
     "LeaseStore",
@@ -30,6 +33,7 @@
 
 NUMBER_BITS = 42  # enough for 10,000 changes per second in ten years
 MAX_NUMBER = (1 << NUMBER_BITS) - 1
+MAX_GENERATION = MAX_COUNT >> NUMBER_BITS
 
 
 def make_revision(generation: int, number: int) -> int:
@@ -70,7 +74,7 @@
 
     key: str
     value: bytes
-    revision: int
+    revision: Count
 
 
 class Listing(msgspec.Struct, frozen=True):
--- a/packages/rosemaryward-decisions/src/rosemaryward/decisions/types.py
+++ b/packages/rosemaryward-decisions/src/rosemaryward/decisions/types.py
@@ -1,11 +1,26 @@
 """Types that all packages share: ranks, places, terms and log positions."""
 
 from enum import IntEnum
-from typing import NewType
+from typing import Annotated, NewType
 
 import msgspec
 
-__all__ = ["HostId", "Term", "Rank", "LogPosition", "Place", "EndpointId"]
+__all__ = [
+    "MAX_COUNT",
+    "Count",
+    "EndpointId",
+    "HostId",
+    "LogPosition",
+    "Place",
+    "Rank",
+    "Term",
+]
+
+MAX_COUNT = (1 << 63) - 1
+"""Largest number that fits into the messages between members."""
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+"""Number that is checked when a value or message is decoded."""
 
 HostId = NewType("HostId", str)
 Term = NewType("Term", int)
@@ -33,8 +48,8 @@
         Index of the entry in the log, from 1; 0 for an empty log.
     """
 
-    term: int = 0
-    index: int = 0
+    term: Count = 0
+    index: Count = 0
 
     def to_token(self) -> str:
         """Return the text form ``term.index`` that callers send back."""
@@ -61,7 +76,10 @@
         term, separator, index = token.partition(".")
         if not (separator and term.isdecimal() and index.isdecimal()):
             raise ValueError(f"expected a position such as '3.1042', found {token!r}")
-        return cls(int(term), int(index))
+        position = cls(int(term), int(index))
+        if max(position.term, position.index) > MAX_COUNT:
+            raise ValueError(f"expected numbers of 63 bits, found {token[:100]!r}")
+        return position
 
 
 class Place(msgspec.Struct, frozen=True, array_like=True):
--- a/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
+++ b/packages/rosemaryward-operators/src/rosemaryward/operators/metrics.py
@@ -137,6 +137,9 @@
         self.term_changes = self._counter(
             "term_changes_total", "Changes of a database's primary or term"
         )
+        self.rejected_values = self._counter(
+            "store_values_rejected_total", "Values of the store that cannot be used"
+        )
         self.relayed = self._counter(
             "relayed_requests_total", "Requests of other proxies by outcome"
         )
@@ -262,6 +265,11 @@
         for outcome, count in outcomes.items():
             self.relayed.set({"outcome": outcome}, count)
 
+    def set_rejected_values(self, counts: Mapping[str, int]) -> None:
+        """Set the number of values that cannot be used, by the prefix of their keys."""
+        for prefix, count in counts.items():
+            self.rejected_values.set({"prefix": prefix}, count)
+
     def set_tenant_operations(self, counts: Mapping[str, int]) -> None:
         """Set the number of operations by tenant.
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/members.py
@@ -12,6 +12,7 @@
 from anyio.abc import SocketStream
 from anyio.streams.buffered import BufferedByteReceiveStream
 
+from rosemaryward.decisions.addresses import split_address
 from rosemaryward.decisions.clients import (
     DEFAULT_LIMITS,
     Client,
@@ -157,13 +158,13 @@
         request: MemberRequest,
         timeout_s: float = REQUEST_TIMEOUT_S,
     ) -> MemberReply:
-        host, _, port = member.address.rpartition(":")
         try:
+            host, port = split_address(member.address)
             with anyio.fail_after(timeout_s):
-                async with await anyio.connect_tcp(host, int(port)) as stream:
+                async with await anyio.connect_tcp(host, port) as stream:
                     await _send(stream, request)
                     return decode_with(_reply_decoder.decode, await _receive(stream))
-        except (TimeoutError, *_FAILURES) as error:
+        except (TimeoutError, ValueError, *_FAILURES) as error:
             raise PeerError(f"{member.name}: {error!r}") from error
 
 
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/relays.py
@@ -12,6 +12,7 @@
 import structlog
 from anyio.abc import SocketStream, TaskGroup
 
+from rosemaryward.decisions.addresses import split_address
 from rosemaryward.decisions.clients import (
     DEFAULT_LIMITS,
     Client,
@@ -240,12 +241,17 @@
     async def _connect(self, member: MemberRecord) -> _RelayConnection:
         if self.task_group is None:
             raise PeerError(f"{member.name}: the relay client is not running")
-        host, _, port = member.relay_address.rpartition(":")
         try:
+            host, port = split_address(member.relay_address)
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
+                stream = await anyio.connect_tcp(host, port)
                 await stream.send(f"{self.name}\n".encode())
-        except (TimeoutError, OSError, anyio.BrokenResourceError) as error:
+        except (
+            TimeoutError,
+            ValueError,
+            OSError,
+            anyio.BrokenResourceError,
+        ) as error:
             raise PeerError(f"{member.name}: {error!r}") from error
         connection = _RelayConnection(stream, member, self._handle_loss)
         for incarnation, other in list(self.connections.items()):
--- a/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_members.py
+++ b/packages/rosemaryward-peers/src/rosemaryward/peers/tests/test_members.py
@@ -1,5 +1,8 @@
 import anyio
+import msgspec
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from rosemaryward.decisions.errors import PeerError
 from rosemaryward.decisions.leadership.members import (
@@ -102,3 +105,61 @@
         await MemberClient().probe_endpoint(
             MemberRecord("proxy-2", "127.0.0.1:1", "inc"), ReachabilityRequest("i-1")
         )
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "",
+        "x",
+        ":1",
+        "127.0.0.1:",
+        "127.0.0.1:70000",
+        "127.0.0.1:-1",
+        "\0:1",
+        "é" * 99 + ":1",
+    ],
+)
+async def test_member_with_an_odd_address_does_not_answer(address):
+    """Guards against a registration of another writer that ends the asking task."""
+    member = MemberRecord("proxy-2", address, "inc")
+    with pytest.raises(PeerError):
+        await MemberClient().request_confirmation(member, ConfirmationRequest("inc"))
+
+
+def encode_reply(fields):
+    return msgspec.msgpack.encode({"type": "confirmed", **fields})
+
+
+odd_numbers = st.sampled_from([-1, 1 << 63, 2.5, float("nan"), -0.5, None, "1", []])
+odd_replies = st.binary(max_size=40) | st.dictionaries(
+    st.sampled_from(
+        ["age_s", "registered", "changing", "records", "revision", "not_asked"]
+    ),
+    odd_numbers,
+    min_size=1,
+).map(encode_reply)
+
+
+@settings(deadline=None, max_examples=60)
+@given(body=odd_replies)
+def test_odd_reply_of_a_member_counts_as_no_answer(body):
+    """Guards against a message that ends the asking task or is taken for an answer."""
+
+    async def answer(stream):
+        async with stream:
+            await stream.receive()
+            await stream.send(len(body).to_bytes(LENGTH_BYTES, "big") + body)
+
+    async def ask():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        member = MemberRecord("proxy-2", f"127.0.0.1:{port}", "inc")
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, answer)
+            request = ConfirmationRequest("inc")
+            with pytest.raises(PeerError):
+                await MemberClient().request_confirmation(member, request)
+            tasks.cancel_scope.cancel()
+
+    anyio.run(ask)
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_keys.py
@@ -3,10 +3,8 @@
 from collections.abc import Callable
 
 import msgspec
-import structlog
 
-from rosemaryward.decisions.errors import DocumentError
-from rosemaryward.decisions.mirror import LeaseStore, StoredValue
+from rosemaryward.decisions.mirror import LeaseStore, RejectedValues, StoredValue
 
 __all__ = [
     "FENCE_PREFIX",
@@ -30,20 +28,27 @@
 FAILOVER_LOCK_KEY = "rosemaryward-duty"
 READERS_KEY = "rosemaryward-readers"
 
-log = structlog.get_logger(__name__)
-
 
 class RecordSubscriber:
     """Passes changes under one key prefix to callbacks.
 
+    Another writer may leave any value under any key. An error that one value causes is
+    recorded here, since it would otherwise end the mirror of the whole store.
+
     Parameters
     ----------
     prefix : str
-        Key prefix, removed from the keys that the callbacks get.
+        Key prefix, removed from the keys that the callbacks get. Without a slash at
+        its end it is the only key.
     on_written : callable
         Called with the key and the value; decodes the value.
     on_removed : callable
         Called with the key.
+    on_rejected : callable, optional
+        Called with the key and a value that cannot be used; by default such a value
+        is passed on as the removal of its key.
+    rejected : RejectedValues, optional
+        Records the values that cannot be used.
     """
 
     def __init__(
@@ -51,28 +56,45 @@
         prefix: str,
         on_written: Callable[[str, StoredValue], None],
         on_removed: Callable[[str], None],
+        on_rejected: Callable[[str, StoredValue], None] | None = None,
+        rejected: RejectedValues | None = None,
     ) -> None:
         self.prefix = prefix
         self.on_written = on_written
         self.on_removed = on_removed
+        self.on_rejected = on_rejected or self._pass_on_as_removed
+        self.rejected = rejected or RejectedValues()
 
     def apply_write(self, stored: StoredValue) -> None:
-        """Pass on a value; log one that cannot be decoded and treat it as removed."""
+        """Pass on a value, or record that it cannot be used."""
+        if not self._has_key(stored.key):
+            return
         name = stored.key.removeprefix(self.prefix)
         try:
             self.on_written(name, stored)
-        except (DocumentError, msgspec.DecodeError) as error:
-            log.warning(
-                "store value cannot be decoded",
-                key=stored.key,
-                revision=stored.revision,
-                error=str(error),
-            )
-            self.on_removed(name)
+        except Exception as error:
+            self.rejected.record(self.prefix, stored.key, stored.revision, error)
+            self._contain(stored.key, lambda: self.on_rejected(name, stored))
 
     def apply_removal(self, key: str) -> None:
         """Pass on the removal of a key."""
-        self.on_removed(key.removeprefix(self.prefix))
+        if self._has_key(key):
+            name = key.removeprefix(self.prefix)
+            self._contain(key, lambda: self.on_removed(name))
+
+    def _has_key(self, key: str) -> bool:
+        """Return whether a key with the prefix belongs to this subscriber."""
+        return self.prefix.endswith("/") or key == self.prefix
+
+    def _contain(self, key: str, callback: Callable[[], None]) -> None:
+        """Run a callback and record its error."""
+        try:
+            callback()
+        except Exception as error:
+            self.rejected.record(self.prefix, key, 0, error)
+
+    def _pass_on_as_removed(self, name: str, stored: StoredValue) -> None:
+        self.on_removed(name)
 
 
 class StoreRecordWriter:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_node.py
@@ -37,6 +37,7 @@
     STORE_SOURCE,
     FollowerSource,
     ReaderFailures,
+    RejectedValues,
     StoredValue,
     StoreMirror,
     StoreRetry,
@@ -122,6 +123,8 @@
         self.store = PlatformStore(settings.store_address)
         self.store_retry = StoreRetry(self.store.probe)
         self.connector = LineConnector(settings.name)
+        self.rejected_values = RejectedValues()
+        self.store.rejected = self.rejected_values
         self.leadership = Leadership()
         self.statement_log = StatementLog(
             self.metrics, self.leadership, lambda: self.environment.version
@@ -290,6 +293,7 @@
         self._apply_timing()
 
     def _subscribers(self) -> dict[str, RecordSubscriber]:
+        lock = self.failover_lock
         subscribers = [
             RecordSubscriber(
                 CONFIGURATION_KEY,
@@ -302,35 +306,53 @@
                 self.directory.mark_unregistered,
             ),
             RecordSubscriber(
-                MEMBER_PREFIX, self.registration.observe, self.members.remove
+                MEMBER_PREFIX,
+                self.registration.observe,
+                self.members.remove,
+                self.registration.observe_unreadable,
             ),
             RecordSubscriber(
                 LIVENESS_PREFIX,
                 lambda name, stored: self.members.mark_alive(name),
                 self.members.mark_absent,
             ),
-            RecordSubscriber(GROUP_PREFIX, self._observe_group, self._group_removed),
+            RecordSubscriber(
+                GROUP_PREFIX,
+                self._observe_group,
+                self._group_removed,
+                lambda name, stored: self._group_removed(name, stored.revision),
+            ),
             RecordSubscriber(
                 REPLICA_SET_PREFIX,
                 self._observe_replica_set,
                 self.replica_sets.observe_removal,
+                lambda name, stored: self.replica_sets.observe_removal(
+                    name, stored.revision
+                ),
             ),
             RecordSubscriber(
                 FAILOVER_LOCK_KEY,
                 self._observe_failover_lock,
-                self._failover_lock_removed,
+                lambda name: lock.observe_removal(),
+                lambda name, stored: lock.observe_removal(stored.revision),
             ),
             RecordSubscriber(
                 READERS_KEY,
                 self.reader_directory.observe,
                 self.reader_directory.observe_removal,
+                self.reader_directory.observe_unreadable,
             ),
             RecordSubscriber(
-                self.failover_lock.last_acquisition_key,
+                lock.last_acquisition_key,
                 self._observe_last_acquisition,
-                self._last_acquisition_removed,
+                lambda name: lock.observe_last_acquisition_removal(),
+                lambda name, stored: lock.observe_last_acquisition_removal(
+                    stored.revision
+                ),
             ),
         ]
+        for subscriber in subscribers:
+            subscriber.rejected = self.rejected_values
         return {subscriber.prefix: subscriber for subscriber in subscribers}
 
     async def run(self, stopping: anyio.Event) -> None:
@@ -476,6 +498,7 @@
         def answer() -> tuple[int, bytes]:
             self.metrics.set_caller_connections(len(self.sessions))
             self.metrics.set_relayed_requests(self.relay_service.reply_counts)
+            self.metrics.set_rejected_values(self.rejected_values.counts)
             self.tenants.export_metrics()
             self.quota.export_metrics(self.metrics)
             self.metrics.set_clients("callers", self.caller_server.clients)
@@ -581,9 +604,9 @@
         record = decode_json(stored.value, GroupRecord)
         self.leadership.observe(name, record, stored.revision)
 
-    def _group_removed(self, name: str) -> None:
-        log.warning("group record removed", group=name)
-        self.leadership.observe_removal(name)
+    def _group_removed(self, name: str, revision: int = 0) -> None:
+        log.warning("group record removed", group=name, revision=revision)
+        self.leadership.observe_removal(name, revision)
 
     def _observe_replica_set(self, name: str, stored: StoredValue) -> None:
         record = decode_json(stored.value, ReplicaSetRecord)
@@ -593,16 +616,10 @@
         record = decode_json(stored.value, LockRecord)
         self.failover_lock.observe(record, stored.revision)
 
-    def _failover_lock_removed(self, name: str) -> None:
-        self.failover_lock.observe_removal()
-
     def _observe_last_acquisition(self, name: str, stored: StoredValue) -> None:
         record = decode_json(stored.value, LockRecord)
         self.failover_lock.observe_last_acquisition(record, stored.revision)
 
-    def _last_acquisition_removed(self, name: str) -> None:
-        self.failover_lock.observe_last_acquisition_removal()
-
     # Background tasks
 
     async def _register(self) -> None:
@@ -643,13 +660,20 @@
         """Start a supervisor for each replication group that appears."""
         async with anyio.create_task_group() as tasks:
             while True:
-                for endpoint in list(self.directory.endpoints.values()):
-                    if endpoint.group not in self.supervised_groups:
-                        self.supervised_groups.add(endpoint.group)
-                        supervisor = self._create_supervisor(endpoint.group)
-                        tasks.start_soon(run_with_restarts, supervisor.run)
+                for group in self._unsupervised_groups():
+                    self.supervised_groups.add(group)
+                    supervisor = self._create_supervisor(group)
+                    tasks.start_soon(run_with_restarts, supervisor.run)
                 await anyio.sleep(CLEANUP_INTERVAL_S)
 
+    def _unsupervised_groups(self) -> set[str]:
+        """Return the groups with endpoints that have no supervisor yet.
+
+        A registration of a group that the configuration lacks names no endpoint to use.
+        """
+        registered = {endpoint.group for endpoint in self.directory.endpoints.values()}
+        return registered & self.environment.groups.keys() - self.supervised_groups
+
     def _create_supervisor(self, group: str) -> PrimarySupervisor:
         context = FailoverContext(
             lock=self.failover_lock,
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_readers.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_readers.py
@@ -116,6 +116,11 @@
         self.published = None
         self.revision = 0
 
+    def observe_unreadable(self, name: str, stored: StoredValue) -> None:
+        """Apply a list that cannot be used, which the next one replaces."""
+        self.published = None
+        self.revision = stored.revision
+
     async def publish(self) -> None:
         """Publish the readers while holding the failover lock, until cancelled.
 
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/platform_registration.py
@@ -5,11 +5,14 @@
 import structlog
 
 from rosemaryward.decisions.clock import boot_time_s
-from rosemaryward.decisions.decoding import decode_json
 from rosemaryward.decisions.errors import ConflictError, StoreError
 from rosemaryward.decisions.leadership.confirmation import Confirmation
 from rosemaryward.decisions.leadership.failover_lock import FailoverLock
-from rosemaryward.decisions.leadership.members import MemberDirectory, MemberRecord
+from rosemaryward.decisions.leadership.members import (
+    MemberDirectory,
+    MemberRecord,
+    decode_member,
+)
 from rosemaryward.decisions.mirror import (
     LeasedKey,
     LeaseLostError,
@@ -81,8 +84,11 @@
 
     def observe(self, name: str, stored: StoredValue) -> None:
         """Pass the registration of a member to the directory."""
-        record = decode_json(stored.value, MemberRecord)
-        self.members.observe(record, stored.revision)
+        self.members.observe(decode_member(name, stored.value), stored.revision)
+
+    def observe_unreadable(self, name: str, stored: StoredValue) -> None:
+        """Apply a registration that cannot be used."""
+        self.members.observe_unreadable(name, stored.revision)
 
     def record_store_read(self, sent_at: float, listing: Listing) -> None:
         """Pass the living members in a read of the store to the confirmation.
@@ -104,12 +110,10 @@
             if not stored.key.startswith(MEMBER_PREFIX):
                 continue
             try:
-                record = decode_json(stored.value, MemberRecord)
-            except msgspec.DecodeError as error:
-                log.warning(
-                    "member record cannot be decoded", key=stored.key, error=str(error)
-                )
-                continue
+                name = stored.key.removeprefix(MEMBER_PREFIX)
+                record = decode_member(name, stored.value)
+            except msgspec.DecodeError:
+                continue  # recorded when the mirror applied it
             if alive.get(record.name) == record.incarnation.encode():
                 members.append(record)
         self.confirmation.record_read(sent_at, members, listing.revision)
@@ -153,7 +157,8 @@
             If the store does not answer.
         """
         record, name = self.record, self.record.name
-        if self.lease and self.members.members.get(name) == record:
+        is_registered = self.members.members.get(name) == record
+        if self.lease and is_registered and name not in self.members.unreadable:
             await self.store.renew_lease(self.lease)
             return
         lease = self.initial_lease or await self.store.grant_lease(LIVENESS_LEASE_S)
