--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_odd_values.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_odd_values.py
@@ -20,6 +20,7 @@
 )
 from rosemaryward.platform.fakes.documents import (
     encode_configuration,
+    encode_registration,
     encode_settings,
 )
 from rosemaryward.platform.fakes.store import FakeStore
@@ -36,24 +37,13 @@
 LAST_ACQUISITION_KEY = "last-" + FAILOVER_LOCK_KEY
 READERS_KEY = "rosemaryward-readers"
 HUGE = 10**400
-ENDPOINT = {
-    "service": "orders",
-    "address": "127.0.0.1:4000",
-    "zone": "a",
-    "slots": 5,
-    "state": "ready",
-    "db_role": "primary",
-    "version": "v1",
-    "warmup_left_ms": 0,
-    "sequence": 4,
-    "born": 1_700_000_000_000,
-}
+BORN = 1_700_000_000_000
 MEMBER = MemberRecord("host-2", "127.0.0.1:5000", "inc-2")
 RECORD = GroupRecord(epoch=1, primary="one", serving=True, holder="host-2")
 LOCK = LockRecord("host-2", "inc-2")
 GOOD_VALUES = {
     CONFIGURATION_KEY: encode_configuration(1, "orders", 32),
-    REGISTRATION_PREFIX + "one": json.dumps(ENDPOINT).encode(),
+    REGISTRATION_PREFIX + "one": encode_registration(born=BORN),
     MEMBER_PREFIX + "host-2": msgspec.json.encode(MEMBER),
     LIVENESS_PREFIX + "host-2": b"inc-2",
     GROUP_PREFIX + "orders": msgspec.json.encode(RECORD),
@@ -96,9 +86,7 @@
 odd_values = (
     st.binary(max_size=40)
     | json_values.map(lambda value: json.dumps(value).encode())
-    | st.sampled_from(
-        [b"[" * 5000, b'{"a":' * 5000, json.dumps(ENDPOINT | {"born": HUGE}).encode()]
-    )
+    | st.sampled_from([b"[" * 5000, b'{"a":' * 5000, encode_registration(born=HUGE)])
     | altered_values()
 )
 odd_keys = st.builds(
@@ -209,10 +197,10 @@
         tasks.start_soon(node.mirror.run)
         await node.mirror.loaded.wait()
         node.directory.mark_listed()
-        odd = json.dumps(ENDPOINT | {"service": "other", "born": HUGE}).encode()
+        odd = encode_registration(service="other", born=HUGE)
         for number in range(300):
             server.put(f"{REGISTRATION_PREFIX}db-{number}", odd)
-        leaving = json.dumps(ENDPOINT | {"state": "draining"}).encode()
+        leaving = encode_registration(state="draining", born=BORN)
         server.put(REGISTRATION_PREFIX + "one", leaving)
         with anyio.fail_after(1.0):
             while "one" not in node.directory.leaving_since:
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_platform_node.py
@@ -1,5 +1,3 @@
-import json
-
 import anyio
 import httpx
 import pytest
@@ -8,7 +6,10 @@
 from rosemaryward.decisions.gateway.environment import Environment
 from rosemaryward.decisions.tenants import Tenant, TenantDirectory
 from rosemaryward.platform.configuration import REGISTRATION_PREFIX
-from rosemaryward.platform.fakes.documents import encode_settings
+from rosemaryward.platform.fakes.documents import (
+    encode_registration,
+    encode_settings,
+)
 from rosemaryward.platform.fakes.store import FakeStore
 from rosemaryward.platform.settings import read_settings
 from rosemaryward.proxy.platform_node import SETTINGS_POLL_INTERVAL_S, PlatformNode
@@ -88,34 +89,17 @@
     assert answers == [True]
 
 
-VALID_REGISTRATION = {
-    "service": "orders",
-    "address": "127.0.0.1:4000",
-    "zone": "a",
-    "slots": 5,
-    "state": "ready",
-    "db_role": "primary",
-    "version": "v1",
-    "warmup_left_ms": 0,
-    "sequence": 4,
-}
-
-
 @pytest.mark.parametrize(
     "value",
     [
         pytest.param(b'{"service":' + b"[" * 5000, id="deeply-nested"),
+        pytest.param(encode_registration(slots=10**30), id="number"),
         pytest.param(
-            json.dumps(VALID_REGISTRATION | {"slots": 10**30}).encode(), id="number"
-        ),
-        pytest.param(
-            json.dumps(VALID_REGISTRATION | {"address": "127.0.0.1:70000"}).encode(),
+            encode_registration(address="127.0.0.1:70000"),
             id="port",
         ),
         pytest.param(
-            json.dumps(
-                VALID_REGISTRATION | {"address": "127.0.0.1:" + "9" * 5000}
-            ).encode(),
+            encode_registration(address="127.0.0.1:" + "9" * 5000),
             id="long-port",
         ),
         pytest.param(b"\xff\x00", id="not-json"),
@@ -126,7 +110,7 @@
     node = make_configured_node(tmp_path)
     server = FakeStore()
     server.put(REGISTRATION_PREFIX + "odd", value)
-    server.put(REGISTRATION_PREFIX + "one", json.dumps(VALID_REGISTRATION).encode())
+    server.put(REGISTRATION_PREFIX + "one", encode_registration())
     app = server.create_app(lambda key, stored: stored)
     async with node.store, anyio.create_task_group() as tasks:
         await node.store.client.aclose()
@@ -134,7 +118,7 @@
         tasks.start_soon(node.mirror.run)
         await node.mirror.loaded.wait()
         server.put(REGISTRATION_PREFIX + "odd-2", value)
-        server.put(REGISTRATION_PREFIX + "two", json.dumps(VALID_REGISTRATION).encode())
+        server.put(REGISTRATION_PREFIX + "two", encode_registration())
         with anyio.fail_after(5.0):
             while "two" not in node.directory.endpoints:
                 await node.mirror.progressed.wait()
--- a/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_store_outage.py
+++ b/packages/rosemaryward-proxy/src/rosemaryward/proxy/tests/test_store_outage.py
@@ -1,7 +1,6 @@
 """How soon all that the store holds is in force after it turned a proxy away."""
 
 import asyncio
-import json
 from random import Random
 
 import anyio
@@ -17,6 +16,7 @@
 )
 from rosemaryward.platform.fakes.documents import (
     encode_configuration,
+    encode_registration,
     encode_settings,
 )
 from rosemaryward.platform.fakes.store import FakeStore
@@ -32,17 +32,6 @@
 LATE_S = 1.6  # longer than the proxies wait for an answer
 POLL_S = 0.02
 STATUS_BY_KIND = {"unavailable": 503, "too-many-requests": 429}
-ENDPOINT = {
-    "service": "orders",
-    "address": "127.0.0.1:4000",
-    "zone": "a",
-    "slots": 5,
-    "state": "ready",
-    "db_role": "primary",
-    "version": "v1",
-    "warmup_left_ms": 0,
-    "sequence": 4,
-}
 
 
 class Gate:
@@ -205,8 +194,7 @@
     configuration = encode_configuration(version, "orders", 32)
     server.put(CONFIGURATION_KEY, configuration)
     state = "ready" if version == 1 else "draining"
-    registration = json.dumps(ENDPOINT | {"state": state}).encode()
-    server.put(REGISTRATION_PREFIX + "one", registration)
+    server.put(REGISTRATION_PREFIX + "one", encode_registration(state=state))
     record = GroupRecord(epoch=version, primary="one", serving=True, holder="h")
     server.put(GROUP_PREFIX + "orders", msgspec.json.encode(record))
 
